--- /dev/null
+++ b/dewway/logic.py
@@ -0,0 +1,1187 @@
+"""Every decision of a sidecar. The types it takes and returns are in `dewway/interface.py`.
+
+Reading order: tunables, records, then `Balancer`: events, picking, sending, retrying, health, cold
+servers, admission, the server list. The ordinary path of a request is `_on_request` -> `_pick` ->
+`_value` and `_admit` -> `_send` -> `_on_outcome`, and for a failed attempt `_plan_repeat` -> `_repeat`.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+import struct
+
+from .interface import (
+    Action,
+    Cancel,
+    Dropped,
+    Effect,
+    Endpoint,
+    Event,
+    Fail,
+    ListKind,
+    Log,
+    Membership,
+    Outcome,
+    PeerMessage,
+    Probe,
+    ProbeResult,
+    Refuse,
+    Request,
+    RequestClass,
+    Scope,
+    Send,
+    SetTimer,
+    Settings,
+    State,
+    Status,
+    StreamStarted,
+    Tell,
+    Timer,
+    Watch,
+)
+
+# Repeats. The delay before repeat n is uniform(FLOOR, min(CAP, BASE * 2^min(n, 6))) of the time left.
+BACKOFF_FLOOR = 0.004  # a few ticks of a usual deadline: enough to leave the tick of the failure
+BACKOFF_BASE = 0.02  # the first repeat costs little of the aim, which is a third of the deadline
+BACKOFF_CAP = 0.25  # a quarter of what is left, so that later repeats still have time to run
+BACKOFF_EXPONENT = 6
+BACKOFF_USEFUL = 0.25  # class means that must be left after the delay: less is hardly ever enough
+RETRY_SHARE = 0.1  # repeats per first try in the long run: bounds amplification when all fails
+RETRY_RESERVE = 10.0  # ... and saved up for this many seconds of traffic, for a sudden loss of servers
+RETRY_AFTER = 0.5  # of the time left or to the aim, as advice with a refusal: a new try has the other half
+RETRY_AFTER_LEAST = 0.5  # of it after jitter, lest refused clients come back together
+
+# Latency estimates, all relative to the smoothed latency of the request's class.
+SMOOTHING = 0.08  # weight of a new sample of one server: work varies far more than servers do
+SMOOTHING_SPAN = 3.0  # shortest deadlines after which an old estimate counts half against a new sample
+CLASS_SMOOTHING = 0.03  # the class mean moves slower than any server, being the common yardstick
+SAMPLE_LIMIT = 10.0  # one long-tailed request must not condemn a server
+FAILURE_SAMPLE = 4.0  # what a failure counts at least: a fast error must not look like a fast server
+FULL_SAMPLE = 3.0  # a full server is alive, but to be left alone for a while
+FORGET_GAPS = 20.0  # estimates halve their distance to the mean in so many usual gaps between answers
+UNKNOWN_LATENCY = 0.25  # of the aim, the class yardstick before any answer
+
+# Overdue attempts.
+OVERDUE_DEVIATIONS = 4.0  # as TCP's retransmission time-out: mean and four mean deviations
+OVERDUE_AT_LEAST = 2.0  # class means
+OVERDUE_AT_MOST = 0.5  # of the time left: a repeat needs as much as the first try had
+
+# Health.
+STRIKES = 2.0  # consecutive failures without a sign of life in between
+HINT_STRIKE = 0.5  # an overdue attempt counts so much: four of them eject
+EJECT_FOR = 1.0  # times the shortest deadline, for the first ejection
+EJECT_GROWTH = 2.0
+EJECT_MOST = 8.0  # times the first
+EJECT_JITTER = 0.3  # either way: sidecars must not try a server together
+EJECT_SHARE = 0.7  # of the ready servers, on broken connections; beyond it, suspect oneself and spread
+EJECT_SHARE_ON_SILENCE = 0.34  # on missing answers alone: if a third is silent, it is load
+
+# Sidecars that see little: fewer requests in a deadline than there are servers.
+SET_LEAST = 2  # servers of each side (own zone, others) sampled from at the least: a pick of two needs two
+SET_SPAN = (
+    1.0  # ... or as many as are asked in a shortest deadline, so that each is heard from about so often
+)
+DEMAND_SPAN = 5.0  # shortest deadlines over which the own requests are counted
+STALE_AFTER = 4.0  # shortest deadlines after which a latency says half as much of the queue others made
+STALE_SHARPNESS = 2.0  # how much better than in proportion to speed: one of two drawn wins by its square
+LEAN = 0.2  # step of a group's weight for each class mean that an answer differs by: ten answers turn it
+LEAN_FADE = 0.01  # ... of it forgotten with each answer, lest chance walks it away
+LEAN_CLIP = 3.0  # class means that one late answer counts at most
+LEAN_MOST = 3.0  # e^3 either way: a group is never shut out, or nothing would tell of its recovery
+LEAN_CROSS = 3.0  # aims of delay for each point of price for a crossing: it is paid where zones are level
+ASK_GAIN = 0.25  # asking saves about half of what is late, and costs two probes
+ASK_WAIT = 0.03  # of the aim: some round trips; a server that has not told by then is passed over
+LOAD_FADE = 0.5  # shortest deadlines in which a report comes to say half as much, and is of use
+GROUP_SMOOTHING = 0.1  # of a group's mean latency, after as many answers
+
+# Zones.
+CROSS_WEIGHT = 4.0  # aims of delay for each point of price for a crossing
+
+# Cold servers.
+PACE = 1.2  # times the fair share of own answers, times the ramp
+PACE_EARN = 1.5  # requests allowed for each one answered: many servers warm by work, sooner than stated,
+# and with PACE this stays under the least fatal multiple for all sidecars together
+PACE_TRUST = 0.1  # requests more that may come at once for each one answered since the start
+PACE_TRUST_MOST = 3.0
+PACE_BURST = 0.25  # seconds of that pace may come at once
+
+# Admission: an adaptive concurrency limit (Little's law) on the own requests in flight.
+PRESSURE_AIM = 0.45  # of the aim: with a mean of half the aim about one answer in eight is late
+PRESSURE_USUAL = 1.4  # times the usual latency, where the aim is hardly more than that
+PRESSURE_FULL = 2.0  # what a rejection counts: short queues are full before latency shows it
+PRESSURE_MOST = 4.0  # what one attempt counts at most
+PRESSURE_SPAN = 0.12  # shortest deadlines in which what was seen fades to half
+PRESSURE_SAMPLES = 10  # ... or the time of so many answers: fewer are noise, which would shed for nothing
+PRESSURE_PRIOR = 0.7  # what nothing seen means: let the limit grow, carefully
+PRESSURE_PRIOR_WEIGHT = 2.0  # attempts
+PRESSURE_AIM_MOST = 0.6  # of the aim, however long the usual latency: nothing is learned from collapse
+USUAL_FIRST = 30  # answers of a class that are simply averaged into its usual latency
+USUAL_SPAN = 25.0  # shortest deadlines over which it moves then, slower than any trouble lasts
+USUAL_DRIFT = 0.1  # ... and this part of that under pressure, lest it never forgives a wrong start
+LIMIT_EVERY = 0.1  # shortest deadlines between corrections
+LIMIT_GROW = 1.3  # for each correction, up to what is known good, or when nothing was refused lately
+LIMIT_CREEP = 0.1  # ... and for each unit of pressure to spare, beyond that
+LIMIT_AGAIN = 0.8  # of the limit after the first of the latest cuts counts as known good
+LIMIT_WARY = 8  # shortest deadlines after a refusal
+LIMIT_SLACK = 4.0  # times what is in flight and a request for each server, for the first deadline
+LIMIT_SURGE = 2.0  # times what the answers of late would keep in flight at the wanted latency, then
+LIMIT_SMALL = 4.0  # ... and so many requests, for sidecars that rarely send
+LIMIT_IDLE = 2.0  # ... and so many for each ready server, all sidecars together
+LIMIT_LEAST = 0.5  # of a request for each ready server, all sidecars together: enough to notice recovery
+LATELY_FADE = 0.95  # for each correction, of the highest number lately in flight
+LIMIT_LEVEL = 4.0  # times the goal's weight of the worst-served class: at a quarter, all are shed alike
+LIMIT_RARE = (
+    0.2  # of the requests that find none in flight are let in at the least: enough to notice recovery
+)
+LIMIT_CHEAP = 0.5  # of the limit is open to the work of least worth for its cost, all of it to the dearest
+
+# What a client's later try is still worth.
+TRY_FADE = 0.01  # of the difference, for each shorter first try: how long clients wait for one try
+AGE_SURE = 1.5  # usual latencies before the aim: the answer comes in time
+AGE_LOST = 0.5  # ... and it hardly ever does
+
+# Fairness.
+SHARES_EVERY = 0.5  # shortest deadlines between judgements: bursts rise within seconds
+SHARES_SMOOTHING = 0.5  # weight of the latest such span
+SHARES_USUAL = 1.3  # times the middle tenant's use of its share, where peers are not heard, is within share
+PEER_FADE = 6.0  # such spans until a peer's word no longer counts
+RATE_UNIT = 64  # steps of a request a second in the peers' message
+
+# Asking discovery, as parts of the time within which a sidecar must ask.
+WATCH_SPREAD = 0.05  # the first call and the first repeat of it are spread over this
+WATCH_MOST = 0.4  # ... doubling up to this, so that two calls fit
+WATCH_LEAST = 0.1  # of the span at the least, to leave a failing registry alone
+
+SECOND = 1_000_000_000
+
+AGAIN = 1 << 16  # marks the timers of attempts that were overdue before
+OUT, NEVER_RAN, MAY_HAVE_RUN = range(3)
+OVERDUE, REPEAT, WATCH = range(3)  # kinds of timers
+PROVES_NOT_RUN = frozenset((Status.FULL, Status.CONNECT_FAILED, Status.MOOT))
+
+
+def _part(time: float, usual: float) -> float:
+    """How likely so much time is enough, from 0 to 1."""
+    return min(max((time / usual - AGE_LOST) / (AGE_SURE - AGE_LOST), 0.0), 1.0)
+
+
+class Server:
+    """What this sidecar believes of one server."""
+
+    def __init__(self, entry: Endpoint, rank: float) -> None:
+        self.id = entry.server
+        self.rank = rank  # by the own seed: each sidecar samples from others
+        self.out: dict[tuple[int, int], tuple[int, int]] = {}  # (request, attempt) -> (sent, class)
+        self.listed = True
+        self.restart(entry)
+
+    def restart(self, entry: Endpoint) -> None:
+        self.zone = entry.zone
+        self.kind = entry.kind
+        self.cell = entry.cell
+        self.ready = entry.state is State.READY
+        self.started = entry.started_ns
+        self.rel = 1.0  # not heard from: counts at the mean, a cold one too, whose pace protects it
+        self.samples = 0
+        self.heard = 0
+        self.last_ok = 0
+        self.load = 0.0  # requests held, as last reported
+        self.load_at = 0
+        self.unit = 0.0  # smoothed latency for each request held, in class means; 0: not known
+        self.strikes = 0
+        self.ejected = False
+        self.ejections = 0
+        self.trial_at = 0
+        self.trial_out = False
+        self.cold_tokens = 0.0
+        self.cold_at = 0
+
+
+class Group:
+    """What this sidecar believes of servers that the list describes alike: of one kind, near or far."""
+
+    def __init__(self) -> None:
+        self.rel = 1.0  # smoothed latency, in class means
+        self.samples = 0
+        self.load = 0.0  # mean of what is reported
+        self.unit = 1.0
+        self.reports = 0
+        self.lean = 0.0  # logarithm of the weight with which its servers are sampled
+
+
+class Open:
+    """A request that is owed an answer."""
+
+    def __init__(self, request: Request, spec: RequestClass) -> None:
+        self.id = request.id
+        self.cls = request.cls
+        self.tenant = request.tenant
+        self.spec = spec
+        self.deadline = request.deadline_ns
+        self.age = 0  # since the client's first try, as far as is known
+        self.attempts: list[list] = []  # [server, sent, state], by number
+        self.repeats = 0  # delays waited so far
+        self.charged = False  # the next repeat has been paid for
+        self.planned = False  # a repeat waits in the timer heap
+        self.streaming = False
+        self.asked: list[Server] = []  # candidates whose load is being asked for
+        self.asked_at = 0
+
+    def any_out(self) -> bool:
+        return any(attempt[2] == OUT for attempt in self.attempts)
+
+    def never_ran(self) -> bool:
+        """Whether each attempt is proven not to have run; one still out may have."""
+        return all(attempt[2] == NEVER_RAN for attempt in self.attempts)
+
+
+class Balancer:
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.now = 0
+        self.actions: list[Action] = []
+        self.servers: dict[int, Server] = {}
+        self.open: dict[int, Open] = {}
+        self.near: list[Server] = []  # ready and not ejected, in the own zone
+        self.far: list[Server] = []
+        self.ejected: list[Server] = []
+        self.ready_count = 0
+        self.rest: list[Server] = []  # those that are not sampled from
+        self.sees_little = True
+        self.set_size = 0
+        self.has_safe = any(spec.effect is Effect.SAFE for spec in settings.classes)
+        self.groups: dict[tuple[int, bool], Group] = {}
+        self.mean_rel = 1.0
+        columns = settings.report_columns
+        held = [columns.index(name) for name in ("inflight", "queue") if name in columns]
+        self.load_column = held[0] if held else None
+        self.asking: dict[int, list[int]] = {}  # server -> requests that wait for what it holds
+        self.stands_for = [1.0, 1.0]  # ready servers near and far for each one sampled
+        self.demand = 0.0  # own requests a second
+        self.demand_at = 0
+        self.began = 0
+        self.timers: list[tuple[int, int, int, int]] = []
+        self.timer_armed = 0
+        self.timer_token = 0
+        self.base = [spec.objective_ns * UNKNOWN_LATENCY for spec in settings.classes]
+        self.deviation = [base / 2 for base in self.base]
+        self.seen = [0] * len(self.base)
+        self.rate = 0.0  # own requests answered per second, smoothed
+        self.rate_at = 0
+        self.retry_tokens = RETRY_SHARE * RETRY_RESERVE
+        self.shortest = min(spec.deadline_ns for spec in settings.classes)
+        self.usual = list(self.base)
+        self.usual_at = [0] * len(self.base)
+        self.try_span = [0.0] * len(self.base)  # how long clients wait for one try
+        self.pressure = PRESSURE_PRIOR
+        self.press_sum = self.press_count = 0.0
+        self.pressed_at = 0
+        self.inflight = 0  # own attempts out, but for those at ejected servers
+        self.inflight_lately = 0.0
+        self.bound_at = 0
+        self.done_units = 0.0  # wanted latencies of what was answered since the last correction
+        self.wanted_inflight = 0.0
+        self.born = 0  # time of the first correction
+        self.good = 0.0  # the limit after the first of the latest cuts
+        self.pressed = False
+        tenants = len(settings.tenants)
+        self.asked = [0.0] * tenants  # first tries since the shares were judged
+        self.asks = [0.0] * tenants  # first tries per second, smoothed
+        self.shares_at = 0
+        self.over_share: list[float] = []  # the part of each tenant's traffic that is over its share
+        self.peer_asks: dict[int, tuple[int, list[float]]] = {}
+        self.rates = struct.Struct(f"<{tenants}I")  # the peers' message: first tries a second by tenant
+        self.limit = 1e9  # until the first correction
+        self.limit_at = 0
+        self.limit_every = int(self.shortest * LIMIT_EVERY)
+        self.share_of = [1.0] * len(self.base)
+        self.cross = settings.price_cross_zone * CROSS_WEIGHT
+        self.watch_fails = 0
+        self.watching = False
+        self.log_at = 0
+        self.handlers = {
+            Request: self._on_request,
+            Outcome: self._on_outcome,
+            Timer: self._on_timer,
+            Dropped: self._on_dropped,
+            Membership: self._on_membership,
+            PeerMessage: self._on_peer,
+            ProbeResult: self._on_probe,
+            StreamStarted: self._on_stream,
+        }
+
+    def handle(self, now_ns: int, event: Event) -> list[Action]:
+        """Take one event at the given time; return what to do, in order."""
+        self.now = now_ns
+        self.actions = []
+        self.handlers[type(event)](event)
+        if self.timers and (not self.timer_armed or self.timers[0][0] < self.timer_armed):
+            self.timer_armed = self.timers[0][0]
+            self.timer_token = (self.timer_token + 1) & 0xFFFFFFFF
+            self.actions.append(SetTimer(max(self.timer_armed - now_ns, 1), self.timer_token))
+        return self.actions
+
+    # Events
+
+    def _on_request(self, event: Request) -> None:
+        spec = self.settings.classes[event.cls]
+        req = Open(event, spec)
+        self.open[req.id] = req
+        self.retry_tokens = min(
+            self.retry_tokens + RETRY_SHARE, RETRY_SHARE * RETRY_RESERVE * max(self.rate, 1.0)
+        )
+        if self.asks and not event.is_retry:
+            self._count_tenant(req.tenant)
+        self._count_demand()
+        if event.deadline_ns <= self.now:
+            self._end(req)
+            return
+        worth = self._worth_asking(req.cls)
+        asks = worth > 0.0 and self.random.random() < worth
+        server = None if asks else self._pick(req)
+        if server is None and not asks:
+            self._plan_repeat(req)
+        elif not self._admit(req, self._value(event, req)):
+            self._end(req)
+        elif asks:
+            self._ask(req)
+        else:
+            self._send(req, server)
+
+    def _first_try(self, req: Open) -> None:
+        server = self._pick(req)
+        if server is None:
+            self._plan_repeat(req)
+        else:
+            self._send(req, server)
+
+    def _worth_asking(self, cls: int) -> float:
+        """How often two probes pay: what they save of the answers expected late, against their price."""
+        if not (self.sees_little and self.settings.can_probe and self.load_column is not None):
+            return 0.0
+        late = math.exp(-self.settings.classes[cls].objective_ns / self.base[cls])  # latencies are near that
+        return late * ASK_GAIN / max(self.settings.price_probe, 1e-6)
+
+    def _ask(self, req: Open) -> None:
+        """Hold a request for some ticks and ask two servers what they hold.
+
+        Guards against picking blindly: the own news of a server are of a deadline ago, its queue is of now.
+        """
+        req.asked = [server for server, _ in self._sampled(req, ())]
+        if len(req.asked) < 2:
+            req.asked = []
+            self._first_try(req)
+            return
+        for server in req.asked:
+            self.asking.setdefault(server.id, []).append(req.id)
+            self.actions.append(Probe(server.id))
+        req.planned = True
+        req.asked_at = self.now
+        wait = min(ASK_WAIT * req.spec.objective_ns, BACKOFF_CAP * (req.deadline - self.now))
+        self._at(self.now + int(wait), REPEAT, req.id)
+
+    def _choose(self, req: Open) -> None:
+        """Send to the better one of those that told their load; to a silent one only if none did."""
+        fit = [server for server in req.asked if not server.ejected and self._may_send(req, server)]
+        fit = [server for server in fit if server.load_at >= req.asked_at] or fit
+        req.asked = []
+        req.planned = False
+        if fit:
+            self._send(req, min(fit, key=lambda server: self._delay(server, req.cls)))
+        else:
+            self._first_try(req)
+
+    def _on_outcome(self, event: Outcome) -> None:
+        server = self.servers.get(event.server)
+        sent = server.out.pop((event.id, event.attempt), None) if server else None
+        if sent is not None:
+            if not server.ejected:
+                self.inflight -= 1
+            self._learn(server, sent[0], sent[1], event)
+        req = self.open.get(event.id)
+        if req is None:
+            return
+        if event.attempt < len(req.attempts):
+            proven = event.status in PROVES_NOT_RUN
+            req.attempts[event.attempt][2] = NEVER_RAN if proven else MAY_HAVE_RUN
+        if event.final:
+            self._forget(req)
+        elif event.status is Status.ERROR:
+            self._end(req)  # a plain error is an answer: the design does not repeat it
+        elif not req.planned:
+            self._plan_repeat(req)
+
+    def _on_dropped(self, event: Dropped) -> None:
+        req = self.open.get(event.id)
+        if req is not None:
+            self._forget(req)
+
+    def _on_stream(self, event: StreamStarted) -> None:
+        req = self.open.get(event.id)
+        server = self.servers.get(event.server)
+        if server is not None:
+            server.last_ok = self.now
+        if req is not None:
+            req.streaming = True  # the answer has begun: nothing more may be sent for it
+            self._cancel_others(req, event.attempt)
+
+    def _on_peer(self, event: PeerMessage) -> None:
+        """A peer's rates by tenant; anything of another length is not ours and skipped."""
+        if len(event.data) == self.rates.size and event.sender < self.settings.fleet_size:
+            rates = [value / RATE_UNIT for value in self.rates.unpack(event.data)]
+            self.peer_asks[event.sender] = (self.now, rates)
+
+    def _on_probe(self, event: ProbeResult) -> None:
+        server = self.servers.get(event.server)
+        if server is None or event.status is not Status.OK:
+            return  # the requests that asked go elsewhere when their wait is over
+        self._heed(server, event.report)
+        for ident in self.asking.pop(server.id, ()):
+            req = self.open.get(ident)
+            if req is not None and req.asked and all(s.load_at >= req.asked_at for s in req.asked):
+                self._choose(req)
+
+    def _on_timer(self, event: Timer) -> None:
+        now = self.now
+        if event.token == self.timer_token:
+            self.timer_armed = 0
+        while self.timers and self.timers[0][0] <= now:
+            _, kind, ident, attempt = heapq.heappop(self.timers)
+            if kind == WATCH:
+                self._watch()
+                continue
+            req = self.open.get(ident)
+            if req is None or req.streaming:
+                continue
+            if kind == OVERDUE:
+                self._overdue(req, attempt)
+            elif kind == REPEAT:
+                if req.asked:
+                    self._choose(req)
+                elif req.planned:
+                    req.planned = False
+                    self._repeat(req)
+
+    def _at(self, due: int, kind: int, ident: int = 0, attempt: int = 0) -> None:
+        heapq.heappush(self.timers, (due, kind, ident, attempt))
+
+    # Picking: the lower expected delay of two sampled
+
+    def _delay(self, server: Server, cls: int) -> float:
+        """Expected delay by the design: (in-flight + 1) x smoothed latency.
+
+        A sidecar that sees little draws it about the estimate, the wider the older its news is: most of
+        what is in flight there is of others. Guards against all of them crowding the faster kind.
+        """
+        news = server.heard
+        if self.sees_little and self.now - server.load_at < LOAD_FADE * self.shortest:
+            group = self._group(server)
+            known = 0.5 ** ((self.now - server.load_at) / (LOAD_FADE * self.shortest))
+            load = max(group.load + (server.load - group.load) * known, len(server.out))
+            delay = (load + 1.0) * (server.unit or group.unit) * self.base[cls]
+            delay = max(delay, self._silence(server))
+            news = server.load_at
+        else:
+            delay = (len(server.out) + 1) * self._slowness(server) * self.base[cls]
+        if self.sees_little:
+            stale = 1.0 - 0.5 ** ((self.now - news) / (STALE_AFTER * self.shortest))
+            delay *= self.random.expovariate(1.0) ** (stale / STALE_SHARPNESS)
+        return delay
+
+    def _slowness(self, server: Server) -> float:
+        """Smoothed latency in class means, aged towards the mean, raised by an unanswered attempt."""
+        forget = FORGET_GAPS * max(self.ready_count, 1) / max(self.rate, 1.0) * SECOND
+        mean = self._group(server).rel if self.sees_little else 1.0
+        rel = server.rel if server.samples else mean
+        rel = mean + (rel - mean) * 0.5 ** ((self.now - server.heard) / forget)
+        if server.out:
+            _, cls = next(iter(server.out.values()))
+            rel = max(rel, self._silence(server) / self.base[cls])
+        return rel
+
+    def _silence(self, server: Server) -> float:
+        """Silence with work outstanding is evidence before any time-out: a hung server."""
+        if not server.out:
+            return 0.0
+        return self.now - max(next(iter(server.out.values()))[0], server.last_ok)
+
+    def _heed(self, server: Server, report: tuple[float, ...], rel: float = 0.0) -> None:
+        """Take a load report, and what the answer that it came with took for each request held."""
+        if self.load_column is None or len(report) <= self.load_column:
+            return
+        load = report[self.load_column]
+        if not 0.0 <= load < math.inf:
+            return
+        server.load, server.load_at = load, self.now
+        group = self._group(server)
+        group.reports += 1
+        weight = max(GROUP_SMOOTHING, 1.0 / group.reports)
+        group.load += weight * (load - group.load)
+        if rel:
+            unit = rel / (load + 1.0)
+            group.unit += weight * (unit - group.unit)
+            server.unit = (server.unit or group.unit) + SMOOTHING * (unit - (server.unit or group.unit))
+
+    def _pick(self, req: Open) -> Server | None:
+        """Two sampled of the own zone against two sampled of the others, which pay for the crossing."""
+        if self.ejected and (trial := self._trial(req)):
+            return trial
+        tried = {attempt[0] for attempt in req.attempts}
+        for fresh in (True, False):
+            best = None
+            lowest = 0.0
+            for server, extra in self._sampled(req, tried if fresh else ()):
+                delay = self._delay(server, req.cls) + extra
+                if best is None or delay < lowest:
+                    best, lowest = server, delay
+            if best is not None:
+                return best
+            if not tried:
+                break
+        for server in self.ejected:  # nothing better: an ejected one may have recovered
+            if not server.trial_out and self._may_send(req, server):
+                return server
+        return None
+
+    def _sampled(self, req: Open, tried) -> list[tuple[Server, float]]:
+        """Candidates, with what is added to their delay for crossing zones."""
+        if not self.sees_little:
+            cross = self.cross * req.spec.objective_ns
+            pairs = [(server, 0.0) for server in self._two(self.near, req, tried)]
+            return pairs + [(server, cross) for server in self._two(self.far, req, tried)]
+        # Too few own answers to know a zone or kind as overrun by its servers: two of the set, by weights
+        # that follow what each group's answers took. The price of a crossing is in the weights.
+        fit = [
+            server for server in self.near + self.far if server not in tried and self._may_send(req, server)
+        ]
+        if not fit:
+            fit = [server for server in self.rest if server not in tried and self._may_send(req, server)]
+        if len(fit) > 2:
+            weights = [self._weight(server) for server in fit]
+            first = self.random.choices(range(len(fit)), weights)[0]
+            weights[first] = 0.0
+            fit = [fit[first], fit[self.random.choices(range(len(fit)), weights)[0]]]
+        return [(server, 0.0) for server in fit]
+
+    def _weight(self, server: Server) -> float:
+        return math.exp(self._group(server).lean) * self.stands_for[server.zone != self.settings.zone]
+
+    def _group(self, server: Server) -> Group:
+        key = (server.kind, server.zone != self.settings.zone)
+        group = self.groups.get(key)
+        if group is None:
+            group = self.groups[key] = Group()
+        return group
+
+    def _lean(self, server: Server, rel: float) -> None:
+        """Lean towards the groups that answer sooner than the mean, as integral control does.
+
+        Guards against a zone with more traffic than its servers carry, and a slow kind, being overrun in
+        the first seconds: one sidecar's steps are noise, those of the whole fleet together are not.
+        """
+        group = self._group(server)
+        group.samples += 1
+        group.rel += max(GROUP_SMOOTHING, 1.0 / (group.samples + 1)) * (rel - group.rel)
+        excess = rel - self.mean_rel
+        self.mean_rel += GROUP_SMOOTHING * excess
+        if server.zone != self.settings.zone:
+            aims = sum(spec.objective_ns for spec in self.settings.classes) / sum(self.base)
+            excess += LEAN_CROSS * self.settings.price_cross_zone * aims
+        lean = group.lean * (1.0 - LEAN_FADE) - LEAN * min(max(excess, -1.0), LEAN_CLIP)
+        group.lean = min(max(lean, -LEAN_MOST), LEAN_MOST)
+
+    def _two(self, group: list[Server], req: Open, tried) -> list[Server]:
+        """Up to two different servers of the group that may take this request now."""
+        found: list[Server] = []
+        size = len(group)
+        if not size:
+            return found
+        at = self.random.randrange(size)
+        step = self.random.randrange(1, size) if size > 2 else 1
+        for turn in range(size + 1):
+            # The first two are a uniform pair; the walk over all beyond them only replaces unfit ones.
+            ahead = turn * step if turn < 2 else turn - 1
+            server = group[(at + ahead) % size]
+            if server in found or server in tried or not self._may_send(req, server):
+                continue
+            found.append(server)
+            if len(found) == 2:
+                break
+        return found
+
+    # Sending: every send passes _may_send, every refusal _may_refuse
+
+    def _may_send(self, req: Open, server: Server) -> bool:
+        """Whether this request may be sent to this server now, by the rules and by pace."""
+        if not server.ready or not server.listed or req.streaming:
+            return False
+        attempts = req.attempts
+        if len(attempts) >= self.settings.max_attempts:
+            return False
+        spec = req.spec
+        for other, sent, state in attempts:
+            if state == NEVER_RAN:
+                continue
+            if state == OUT and not self.settings.second_copies:
+                return False
+            if spec.effect is Effect.UNSAFE:
+                return False
+            if spec.effect is Effect.KEYED:
+                if self.now + self.settings.tick_ns >= sent + spec.window_ns:
+                    return False
+                if spec.scope is Scope.CELL and other.cell != server.cell:
+                    return False
+                if spec.scope is Scope.ZONE and other.zone != server.zone:
+                    return False
+        return self._cold_allows(server, req.cls, False)
+
+    def _may_refuse(self, req: Open) -> bool:
+        """Whether a refusal, which invites the client to try again, does no harm."""
+        spec = req.spec
+        if spec.effect is Effect.SAFE or (spec.effect is Effect.KEYED and spec.scope is Scope.ALL):
+            return True
+        return req.never_ran()
+
+    def _send(self, req: Open, server: Server) -> None:
+        now = self.now
+        left = req.deadline - now
+        number = len(req.attempts)
+        req.attempts.append([server, now, OUT])
+        req.charged = False
+        overdue = self._overdue_after(server, req.cls, left)
+        server.out[(req.id, number)] = (now, req.cls)
+        if server.ejected:
+            server.trial_out = True
+        else:
+            self.inflight += 1
+        self._cold_allows(server, req.cls, True)
+        # No time-out of its own: an overdue attempt is judged by what its server did meanwhile.
+        self.actions.append(Send(req.id, server.id))
+        self._at(now + overdue, OVERDUE, req.id, number)
+
+    def _count_answer(self) -> None:
+        tau = self.settings.overload_for_ns
+        self.rate = self.rate * max(0.0, 1.0 - (self.now - self.rate_at) / tau) + SECOND / tau
+        self.rate_at = self.now
+
+    def _overdue_after(self, server: Server, cls: int, left: int) -> int:
+        """When to doubt an attempt: a slow server is given its time, lest load looks like loss."""
+        usual = self.base[cls] + OVERDUE_DEVIATIONS * self.deviation[cls]
+        usual = max(usual, OVERDUE_AT_LEAST * self.base[cls]) * max(server.rel, 1.0)
+        return int(min(usual, OVERDUE_AT_MOST * left)) + 1
+
+    # Repeating: full jitter, one bounded budget
+
+    def _plan_repeat(self, req: Open) -> None:
+        """Wait a jittered part of the time left, then repeat; or end the request."""
+        left = req.deadline - self.now - self.settings.tick_ns
+        ceiling = min(BACKOFF_CAP, BACKOFF_BASE * 2 ** min(req.repeats, BACKOFF_EXPONENT))
+        delay = int(self.random.uniform(BACKOFF_FLOOR, ceiling) * left)
+        req.repeats += 1
+        first = not req.attempts  # held for want of any server: not a repeat
+        if (
+            left <= 0
+            or delay + BACKOFF_USEFUL * self.base[req.cls] > left
+            or (not first and ((self.retry_tokens < 1.0 and not req.charged) or not self._any_left(req)))
+        ):
+            self._give_up(req)
+            return
+        if not first and not req.charged:
+            self.retry_tokens -= 1.0  # when planned, or a lost server's attempts would all spend the last one
+            req.charged = True
+        req.planned = True
+        self._at(self.now + max(delay, 1), REPEAT, req.id)
+
+    def _any_left(self, req: Open) -> bool:
+        """Whether the rules allow any further attempt at all, wherever it went."""
+        if len(req.attempts) >= self.settings.max_attempts:
+            return False
+        if req.spec.effect is not Effect.UNSAFE:
+            return True
+        return req.never_ran()
+
+    def _give_up(self, req: Open) -> None:
+        """No repeat: an attempt still out may yet answer, otherwise the request ends."""
+        if not req.any_out():
+            self._end(req)
+
+    def _repeat(self, req: Open) -> None:
+        server = self._pick(req)
+        if server is not None:
+            self._send(req, server)
+        elif not req.any_out():
+            self._plan_repeat(req)
+
+    def _end(self, req: Open) -> None:
+        """Give the final answer."""
+        if self._may_refuse(req):
+            wait = 0
+            if self.settings.retry_after:
+                left = max(req.deadline - self.now, 0)
+                spare = req.spec.objective_ns - req.age - self.usual[req.cls]
+                if spare > 0.0:
+                    left = min(left, spare)  # another try may still be in time; a later one hardly earns
+                wait = min(self.settings.max_retry_after_ns, int(left * RETRY_AFTER))
+                wait = int(wait * self.random.uniform(RETRY_AFTER_LEAST, 1.0))
+            self.actions.append(Refuse(req.id, wait))
+        else:
+            self.actions.append(Fail(req.id))
+        self._forget(req)
+
+    def _forget(self, req: Open) -> None:
+        del self.open[req.id]
+        self._cancel_others(req, -1)
+
+    def _cancel_others(self, req: Open, keep: int) -> None:
+        if not self.settings.can_cancel:
+            return
+        for number, attempt in enumerate(req.attempts):
+            if attempt[2] == OUT and number != keep:
+                self.actions.append(Cancel(req.id, number))
+
+    # Health
+
+    def _learn(self, server: Server, sent: int, cls: int, event: Outcome) -> None:
+        """Take an attempt's end into the estimates of its server and class."""
+        status = event.status
+        took = event.duration_ns
+        base = self.base[cls]
+        if server.ejected:
+            server.trial_out = False
+        if status is Status.MOOT:
+            return
+        if status is Status.OK:
+            self._learn_usual(cls, took)
+            if server.cold_at:
+                server.cold_tokens += PACE_EARN * self._cost(cls)  # what it has answered it can do again
+            self.done_units += self._unit(cls)
+            self._press(server, cls, took)
+            weight = max(CLASS_SMOOTHING, 1.0 / (self.seen[cls] + 1))
+            self.seen[cls] += 1
+            self.deviation[cls] += weight * (abs(took - base) - self.deviation[cls])
+            self.base[cls] = base + weight * (took - base)
+            self._count_answer()
+            server.strikes = 0.0
+            server.last_ok = self.now
+            if server.ejected:
+                self._readmit(server)
+            self._sample(server, took / base)
+            self._heed(server, event.report, took / base)
+        elif status is Status.FULL:
+            self._sample(server, max(FULL_SAMPLE, server.rel))
+            server.last_ok = self.now  # busy, but alive
+            self._add_pressure(PRESSURE_FULL)
+        elif status is Status.CANCELLED:
+            if took / base > server.rel:
+                self._sample(server, took / base)
+        else:
+            self._sample(server, max(took / base, FAILURE_SAMPLE, server.rel))
+            if status is Status.TIMEOUT and server.last_ok > sent:
+                self._press(server, cls, took)
+            if status is not Status.TIMEOUT:
+                self._strike(server, 1.0, EJECT_SHARE)
+            elif server.last_ok <= sent:
+                self._strike(server, 1.0, EJECT_SHARE_ON_SILENCE)
+            else:
+                # The server lives, so all may be slow: let the yardstick follow, or time-outs multiply.
+                self.base[cls] += CLASS_SMOOTHING * max(0.0, took - base)
+
+    def _sample(self, server: Server, rel: float) -> None:
+        fresh = 1.0 - 0.5 ** ((self.now - server.heard) / (SMOOTHING_SPAN * self.shortest))
+        weight = max(SMOOTHING, 1.0 / (server.samples + 2), fresh if self.sees_little else 0.0)
+        rel = min(rel, SAMPLE_LIMIT)
+        server.rel += weight * (rel - server.rel)
+        self._lean(server, rel)
+        server.samples += 1
+        server.heard = self.now
+
+    def _overdue(self, req: Open, number: int) -> None:
+        """An attempt is late: evidence against a silent server, and a repeat if that one is ejected.
+
+        Guards against retry storms: at a server not known to be bad either the work is long, which a
+        repeat would not shorten, or all is slow, which a repeat would make worse. A sidecar with little
+        traffic finds nearly every server silent, so silence alone is no reason to repeat.
+        """
+        first, number = number < AGAIN, number % AGAIN
+        server, sent, state = req.attempts[number]
+        if state != OUT:
+            return
+        silent = server.last_ok <= sent
+        if not silent:
+            self._press(server, req.cls, self.now - sent)  # late news is no use: count it while it waits
+        elif first:  # one long piece of work must not condemn a server by itself
+            self._strike(server, HINT_STRIKE, EJECT_SHARE_ON_SILENCE)
+        if server.ejected:
+            self._rescue(req, number)
+        again = 2 * self.now - sent
+        if again < req.deadline:
+            self._at(again, OVERDUE, req.id, number + AGAIN)
+
+    def _rescue(self, req: Open, number: int) -> None:
+        """Repeat an attempt that its server seems to have lost, where the class and the site allow it."""
+        if req.planned or req.streaming or req.spec.effect is Effect.UNSAFE:
+            return
+        if self.retry_tokens < 1.0 or not self._any_left(req):
+            return
+        if self.settings.second_copies:
+            self._plan_repeat(req)
+        elif self.settings.can_cancel:
+            self.actions.append(Cancel(req.id, number))  # only one may be out: its end plans the repeat
+
+    def _strike(self, server: Server, weight: float, share: float) -> None:
+        """Count a failure or an overdue attempt, and eject while at most this share would be out."""
+        server.strikes += weight
+        if server.ejected:
+            self._set_trial(server)
+            return
+        if server.strikes >= STRIKES and len(self.ejected) + 1 <= share * self.ready_count:
+            self._eject(server)
+
+    def _eject(self, server: Server) -> None:
+        server.ejected = True
+        self.inflight -= len(server.out)
+        server.ejections = 0
+        self._set_trial(server)
+        self._regroup()
+        self._log(f"ejected {server.id} after {server.strikes:.1f} strikes in a row")
+        for ident, number in list(server.out):  # what waits there is likely lost: do not wait it out
+            req = self.open.get(ident)
+            if req is not None:
+                self._rescue(req, number)
+
+    def _set_trial(self, server: Server) -> None:
+        wait = self.shortest * min(EJECT_FOR * EJECT_GROWTH**server.ejections, EJECT_MOST)
+        server.ejections += 1
+        server.trial_at = self.now + int(wait * self.random.uniform(1.0 - EJECT_JITTER, 1.0 + EJECT_JITTER))
+
+    def _trial(self, req: Open) -> Server | None:
+        """An ejected server that is due for one request: of a class safe to repeat, if there is any.
+
+        Guards against sites without a safe class, where a server that recovered was never tried again.
+        """
+        if req.attempts or (self.has_safe and req.spec.effect is not Effect.SAFE):
+            return None
+        for server in self.ejected:
+            if server.trial_at <= self.now and not server.trial_out and self._may_send(req, server):
+                return server
+        return None
+
+    def _readmit(self, server: Server) -> None:
+        server.ejected = False
+        self.inflight += len(server.out)
+        server.rel = min(server.rel, FULL_SAMPLE)
+        self._regroup()
+
+    def _regroup(self) -> None:
+        """Rebuild the lists to sample from; only when a server changes state."""
+        for server in [s for s in self.servers.values() if not s.listed and not s.out]:
+            del self.servers[server.id]  # else memory grows with every server that ever was
+        ready = [server for server in self.servers.values() if server.ready and server.listed]
+        self.ready_count = len(ready)
+        self.ejected = [server for server in ready if server.ejected]
+        here = self.settings.zone
+        near = [server for server in ready if server.zone == here and not server.ejected]
+        far = [server for server in ready if server.zone != here and not server.ejected]
+        size = self.set_size = self._set_size()
+        # Where servers outnumber sidecars each makes much of a server's load, whatever it sends just now.
+        self.sees_little = size < len(ready) < self.settings.fleet_size
+        if self.sees_little:
+            near.sort(key=lambda server: server.rank)  # the same ones as long as they are fit
+            far.sort(key=lambda server: server.rank)
+        else:
+            size = len(ready)
+        self.near, self.far, self.rest = near[:size], far[:size], near[size:] + far[size:]
+        self.stands_for = [len(near) / max(len(self.near), 1), len(far) / max(len(self.far), 1)]
+
+    def _set_size(self) -> int:
+        """Servers of a side to sample from: so many that each is heard from about once a deadline.
+
+        Guards against hundreds of sidecars that each meet a server once in half a minute and so never
+        learn which ones are slow, crowded or hung.
+        """
+        return max(SET_LEAST, int(self.demand * SET_SPAN * self.shortest / SECOND))
+
+    def _count_demand(self) -> None:
+        if not self.began:
+            self.began = self.demand_at = self.now
+        span = min(self.now - self.began + self.shortest, DEMAND_SPAN * self.shortest)
+        self.demand = self.demand * max(0.0, 1.0 - (self.now - self.demand_at) / span) + SECOND / span
+        self.demand_at = self.now
+        size = self._set_size()
+        if size != self.set_size and min(size, self.set_size) < self.ready_count:
+            self._regroup()
+
+    # Cold servers
+
+    def _ramp(self, server: Server) -> float:
+        """The least part of its capacity that a server has by now, by the settings."""
+        start, warm = self.settings.start_capacity, self.settings.warm_within_ns
+        age = self.now - server.started
+        if not server.started or age >= warm:
+            return 1.0
+        return max(start + (1.0 - start) * max(age, 0) / warm, 0.01)
+
+    def _cold_allows(self, server: Server, cls: int, take: bool) -> bool:
+        """Pace to a cold server: its ramp's part of a fair share of the own traffic.
+
+        Guards against pushing over a starting server: with every sidecar doing so, it gets at most
+        PACE times the mean load of the fleet times its ramp, whoever carries how much.
+        """
+        if not server.started:
+            return True
+        ramp = self._ramp(server)
+        if ramp >= 1.0:
+            return True
+        # No answers of late mean no right to send: a rate remembered from better times would not do.
+        fade = max(0.0, 1.0 - (self.now - self.rate_at) / self.settings.overload_for_ns)
+        # Those who do not sample it leave their part to those who do.
+        among = self.ready_count - len(self.rest) if server not in self.rest else self.ready_count
+        fair = self.rate * fade / max(among, 1)
+        pace = PACE * ramp * fair
+        limit = max(1.0, pace * PACE_BURST) + min(server.samples * PACE_TRUST, PACE_TRUST_MOST)
+        if not server.cold_at:
+            # Part of a first token each: from none at all, hundreds of sidecars with little traffic would
+            # leave a restarted server idle until all of them had saved up for it.
+            least = min(self._cost(number) for number in range(len(self.usual)))
+            server.cold_tokens = self.random.random() * least
+        else:
+            earned = pace * (self.now - server.cold_at) / SECOND
+            server.cold_tokens = min(limit, server.cold_tokens + earned)
+        server.cold_at = self.now
+        cost = self._cost(cls)
+        if take:
+            server.cold_tokens -= cost
+            return True
+        return server.cold_tokens >= min(cost, limit)
+
+    def _cost(self, cls: int) -> float:
+        """The work of a class against the mean of the classes, by its usual latency."""
+        return self.usual[cls] * len(self.usual) / sum(self.usual)
+
+    # Admission
+
+    def _value(self, event: Request, req: Open) -> float:
+        """The part of its worth that a request can still be expected to earn.
+
+        Aim and deadline of a class run from the client's first try, and a later try is cut short at that
+        deadline: so a short try tells its age. Guards against overload in which the work that is let
+        through is mostly such that it comes too late anyway.
+        """
+        spec = req.spec
+        left = event.deadline_ns - self.now
+        usual = self.usual[event.cls]
+        span = self.try_span[event.cls]
+        if not event.is_retry:
+            span = max(left, span + TRY_FADE * (left - span))
+            self.try_span[event.cls] = span
+        if left < span - 2 * self.settings.tick_ns:
+            req.age = spec.deadline_ns - left
+            in_time = _part(spec.objective_ns - req.age, usual)
+        elif event.is_retry and spec.deadline_ns > span:
+            # Not cut short: it may be of any age up to this.
+            in_time = min(max(spec.objective_ns - usual, 0.0) / (spec.deadline_ns - span), 1.0)
+        else:
+            in_time = 1.0
+        return (in_time + (1.0 - in_time) * spec.late_worth) * _part(left, usual)
+
+    def _admit(self, req: Open, value: float) -> bool:
+        """Refuse early what would make the requests in flight outgrow what is answered in time.
+
+        Guards against queues in which everything is answered too late, against servers that turn slow
+        when crowded, and against clients that come back at once, whom no shed share could outrun.
+        """
+        if self.now - self.limit_at >= self.limit_every:
+            self._correct_limit()
+        share = self.share_of[req.cls]
+        if self.over_share and self.random.random() < self.over_share[req.tenant]:
+            share = LIMIT_CHEAP + (share - LIMIT_CHEAP) * self.settings.over_share_worth
+        limit = self.limit * share * value
+        if self.sees_little and limit < 1.0 and not self.inflight:
+            # Guards against a thousand sidecars with a request each now and then, whom no limit of one
+            # holds back: of what they would keep in flight at the wanted latency a part is let in.
+            natural = self.demand * self._unit(req.cls) / SECOND
+            if self.random.random() < max(limit / natural, 2.0 - self.pressure, LIMIT_RARE):
+                return True
+        elif self.inflight + 1 <= max(limit, 1.0):
+            return True
+        self.bound_at = self.now
+        return False
+
+    def _correct_limit(self) -> None:
+        self.born = self.born or self.now
+        passed = max(self.now - self.limit_at, 1)
+        self.limit_at = self.now
+        weight = min(passed / self.shortest, 1.0)
+        self.wanted_inflight += weight * (self.done_units / passed - self.wanted_inflight)
+        self.done_units = 0.0
+        self.inflight_lately = max(self.inflight, self.inflight_lately * LATELY_FADE)
+        self._fade_pressure()
+        if self.pressure > 1.0:
+            # Little's law: at the rate of answers seen, so many in flight make the wanted latency. Unlike
+            # repeated cuts it does not overshoot while the answers to an earlier crowd come in late.
+            limit = min(self.limit, self.wanted_inflight / self.pressure)
+            if not self.pressed:  # later ones follow the few answers that this one leaves
+                self.pressed = True
+                self.good = limit
+        else:
+            self.pressed = False
+            if self.now - self.born < self.shortest:
+                most = LIMIT_SLACK * (self.inflight_lately + self.ready_count)  # no answers to go by yet
+            else:
+                # A limit that follows what is in flight lets a surge in before the first late answer.
+                spread = LIMIT_IDLE * self.ready_count / self.settings.fleet_size
+                most = LIMIT_SURGE * self.wanted_inflight + LIMIT_SMALL + spread
+            grow = LIMIT_GROW
+            known = max(self.wanted_inflight, LIMIT_AGAIN * self.good)
+            if self.now - self.bound_at < LIMIT_WARY * self.shortest and self.limit >= known:
+                grow = 1.0 + LIMIT_CREEP * (1.0 - self.pressure)  # a leap over what is known good overshoots
+            limit = min(self.limit * grow, most)
+        # Every sidecar keeps its part of a floor, so that all together leave a tired fleet nearly idle.
+        least = LIMIT_LEAST * self.ready_count / self.settings.fleet_size
+        self.limit = max(limit, least, 0.0 if self.sees_little else 1.0)
+        densities = [self._density(cls) for cls in range(len(self.usual))]
+        top = max(densities) or 1.0  # classes may all be worth nothing
+        # What is shed first is soon the worst-served class, which the goal may weigh by itself.
+        cheap = LIMIT_CHEAP + (1.0 - LIMIT_CHEAP) * min(LIMIT_LEVEL * self.settings.goal_worst_class, 1.0)
+        self.share_of = [cheap + (1.0 - cheap) * density / top for density in densities]
+
+    # Fairness: what a tenant asks beyond its share is the first to be shed
+
+    def _count_tenant(self, tenant: int) -> None:
+        """Count a first try; now and then work out how much of each tenant's traffic is over its share."""
+        self.asked[tenant] += 1.0
+        passed = self.now - self.shares_at
+        if passed < SHARES_EVERY * self.shortest:
+            return
+        known, self.shares_at = self.shares_at, self.now
+        if known:  # the first span has no beginning
+            weight = SHARES_SMOOTHING
+            for number, asked in enumerate(self.asked):
+                self.asks[number] += weight * (asked * SECOND / passed - self.asks[number])
+        self.asked = [0.0] * len(self.asked)
+        if self.settings.can_tell and self.settings.fleet_size > 1:
+            told = [min(int(ask * RATE_UNIT), 0xFFFFFFFF) for ask in self.asks]
+            self.actions.append(Tell(self.rates.pack(*told)))
+        self._judge_shares()
+
+    def _judge_shares(self) -> None:
+        tenants = self.settings.tenants
+        fresh = self.now - PEER_FADE * SHARES_EVERY * self.shortest
+        peers = [rates for when, rates in self.peer_asks.values() if when >= fresh]
+        if len(peers) + 1 >= self.settings.fleet_size:
+            # All are heard: the shares are known as they are stated, over all sidecars together.
+            part = 1.0
+            asks = [sum(rates) for rates in zip(self.asks, *peers, strict=True)]
+        else:
+            # Only own traffic is seen: the own part of each share is guessed from the tenants' middle.
+            asks = self.asks
+            pairs = zip(asks, tenants, strict=True)
+            loads = sorted(ask / tenant.quota_per_s for ask, tenant in pairs if tenant.quota_per_s > 0.0)
+            part = loads[(len(loads) - 1) // 2] * SHARES_USUAL if loads else 0.0
+        self.over_share = [
+            1.0 - tenant.quota_per_s * part / ask if ask > tenant.quota_per_s * part > 0.0 else 0.0
+            for ask, tenant in zip(asks, tenants, strict=True)
+        ]
+
+    def _density(self, cls: int) -> float:
+        """Worth for the server time it takes."""
+        worth = self.settings.classes[cls].worth
+        return worth if self.settings.worth_by_work else worth / self.usual[cls]
+
+    def _unit(self, cls: int) -> float:
+        """The latency of a class at which pressure is 1."""
+        aim = self.settings.classes[cls].objective_ns
+        return min(max(PRESSURE_AIM * aim, PRESSURE_USUAL * self.usual[cls]), PRESSURE_AIM_MOST * aim)
+
+    def _learn_usual(self, cls: int, took: int) -> None:
+        known = self.seen[cls]
+        if known < USUAL_FIRST:
+            step = 1.0 / (known + 1)
+        else:
+            step = min((self.now - self.usual_at[cls]) / (USUAL_SPAN * self.shortest), 0.1)
+            if self.pressure >= 1.0:
+                step *= USUAL_DRIFT
+        self.usual_at[cls] = self.now
+        self.usual[cls] += step * (took - self.usual[cls])
+
+    def _press(self, server: Server, cls: int, latency: float) -> None:
+        """Take one attempt's latency into the pressure, a mean that fades with time to its prior."""
+        if not server.ejected:
+            self._add_pressure(latency / self._unit(cls))
+
+    def _add_pressure(self, value: float) -> None:
+        self._fade_pressure()
+        self.press_sum += min(value, PRESSURE_MOST)
+        self.press_count += 1.0
+
+    def _fade_pressure(self) -> None:
+        span = max(PRESSURE_SPAN * self.shortest, PRESSURE_SAMPLES * SECOND / max(self.rate, 1.0))
+        span = min(span, self.shortest)
+        fade = 0.5 ** ((self.now - self.pressed_at) / span)
+        self.pressed_at = self.now
+        self.press_sum *= fade
+        self.press_count *= fade
+        self.pressure = (self.press_sum + PRESSURE_PRIOR * PRESSURE_PRIOR_WEIGHT) / (
+            self.press_count + PRESSURE_PRIOR_WEIGHT
+        )
+
+    # The server list
+
+    def _on_membership(self, event: Membership) -> None:
+        if event.kind is ListKind.CACHED:
+            if self.settings.must_ask:
+                # Restarted sidecars must not all ask at once.
+                spread = self.settings.must_ask_in_ns * WATCH_SPREAD
+                self._at(self.now + int(spread * self.random.random()), WATCH)
+        elif event.kind is ListKind.FAILED:
+            self.watching = False
+            self._watch_later()
+            return
+        else:
+            self.watching = True
+            self.watch_fails = 0
+        if event.kind is not ListKind.DELTA:
+            present = {entry.server for entry in event.entries}
+            for server in self.servers.values():
+                if server.id not in present:
+                    server.listed = False  # absent from a complete list: gone
+        for entry in event.entries:
+            server = self.servers.get(entry.server)
+            if server is None:
+                self.servers[entry.server] = Server(entry, self.random.random())
+            elif entry.started_ns != server.started or (entry.state is State.READY and not server.ready):
+                if server.ejected:
+                    self.inflight += len(server.out)
+                server.restart(entry)
+            else:
+                server.ready = entry.state is State.READY
+                server.zone, server.cell = entry.zone, entry.cell
+            self.servers[entry.server].listed = entry.state is not State.GONE
+        before = len(self.near) + len(self.far)
+        self._regroup()
+        after = len(self.near) + len(self.far)
+        if 0 < after < before:
+            # What so many servers carried the fewer cannot: do not wait for late answers to learn it.
+            self.limit *= after / before
+            self.wanted_inflight *= after / before
+            self.good *= after / before
+
+    def _watch_later(self) -> None:
+        if not self.settings.must_ask:
+            return
+        span = self.settings.must_ask_in_ns * min(WATCH_MOST, WATCH_SPREAD * 2**self.watch_fails)
+        self.watch_fails += 1
+        self._at(self.now + int(span * self.random.uniform(WATCH_LEAST, 1.0)) + 1, WATCH)
+
+    def _watch(self) -> None:
+        if not self.watching:
+            self.actions.append(Watch(True))
+
+    def _log(self, text: str) -> None:
+        """One line a second at most: the report keeps only a few hundred."""
+        if self.now >= self.log_at:
+            self.log_at = self.now + SECOND
+            self.actions.append(Log(text))
--- /dev/null
+++ b/tests/test_little.py
@@ -0,0 +1,212 @@
+"""Sidecars that see little: one small test for each failure found at full size."""
+
+from helpers import MS, SECOND, START, endpoint, kinds, play_timers, request, send_one, serve
+from helpers import make as make_any
+
+from dewway.interface import (
+    Dropped,
+    Effect,
+    Endpoint,
+    ListKind,
+    Membership,
+    Outcome,
+    Probe,
+    ProbeResult,
+    Refuse,
+    Send,
+    State,
+    Status,
+    Timer,
+)
+
+
+def make(**more):
+    return make_any(fleet_size=400, **more)
+
+
+def trickle(balancer, now, idents, took, gap=SECOND):
+    """One request at a time, far apart; the servers used, in order."""
+    used = []
+    for ident in idents:
+        now += gap
+        sent = send_one(balancer, now, ident)
+        used.append(sent.server)
+        latency = took(sent.server)
+        balancer.handle(now + latency, Outcome(ident, 0, sent.server, Status.OK, latency, True))
+    return now, used
+
+
+def test_a_sidecar_that_sends_little_keeps_to_few_servers_and_a_busy_one_to_all():
+    """Every server was met twice a minute, so none was ever known as slow or hung."""
+    entries = [endpoint(n) for n in range(40)]
+    quiet, now = make(entries=entries)
+    assert len(set(trickle(quiet, now, range(60), lambda server: 40 * MS)[1])) <= 4
+    busy, now = make(entries=entries)
+    assert len(serve(busy, now, range(1500), 10 * MS)[1]) == 40
+
+
+def test_where_servers_outnumber_sidecars_all_are_sampled_however_little_is_sent():
+    """A restarted one of four sidecars, with half the traffic to come, began as if it saw little."""
+    balancer, now = make_any(entries=[endpoint(n) for n in range(40)], fleet_size=4)
+    assert len(set(trickle(balancer, now, range(60), lambda server: 40 * MS)[1])) > 20
+
+
+def test_sidecars_keep_to_different_servers():
+    entries = [endpoint(n) for n in range(40)]
+    used = set()
+    for seed in range(60):
+        balancer, now = make(entries=entries, seed=seed)
+        used |= set(trickle(balancer, now, range(6), lambda server: 40 * MS)[1])
+    assert len(used) > 30
+
+
+def test_a_request_reaches_beyond_the_set_when_none_of_it_is_fit():
+    """A keyed repeat may only go to the group of its first server, of which the set may hold no other."""
+    entries = [endpoint(n, cell=n // 2) for n in range(40)]
+    again = []
+    for seed in range(20):
+        balancer, now = make(entries=entries, effect=Effect.KEYED, seed=seed)
+        first = send_one(balancer, now, 1).server
+        actions = balancer.handle(now + MS, Outcome(1, 0, first, Status.RESET, MS, False))
+        done = play_timers(balancer, now + MS, actions, now + SECOND)
+        again += [action.server - first for _, action in done if isinstance(action, Send)]
+    assert len(again) == 20 and {abs(step) for step in again} == {1}  # its neighbour, of the same cell
+
+
+def test_an_overrun_zone_and_a_slow_kind_get_less_within_tens_of_answers():
+    """A zone with 61% of the traffic and 31% of the capacity stood choked, whole, two seconds into a day."""
+    for name in ("zone", "kind"):
+        entries = [
+            Endpoint(n, n % 2 if name == "zone" else 0, n % 2 if name == "kind" else 0, 0, State.READY)
+            for n in range(40)
+        ]
+        early = late = 0
+        leans = 0.0
+        for seed in range(30):
+            balancer, now = make(entries=entries, seed=seed)
+            _, used = trickle(balancer, now, range(40), lambda server: (40 if server % 2 else 120) * MS)
+            early += sum(1 - server % 2 for server in used[:5])
+            late += sum(1 - server % 2 for server in used[-5:])
+            leans += balancer._group(balancer.servers[1]).lean - balancer._group(balancer.servers[0]).lean
+        assert late < 0.4 * 150 and late < 0.8 * early
+        assert leans > 30 * 0.3  # by the sampling too, not by the pick alone
+
+
+def test_an_unheard_server_counts_at_the_mean_of_its_kind():
+    entries = [Endpoint(n, 0, n % 2, 0, State.READY) for n in range(40)]
+    balancer, now = make(entries=entries)
+    now, _ = trickle(balancer, now, range(40), lambda server: (40 if server % 2 else 120) * MS)
+    unheard = {server.kind: balancer._slowness(server) for server in balancer.rest if not server.samples}
+    assert unheard[1] < unheard[0]
+    assert unheard[1] == balancer.groups[1, False].rel < 1.0
+
+
+def test_restarted_servers_are_used_from_their_listing_on_but_not_by_all_at_once():
+    """A third of a fleet came back from a crash and stood idle for 14 s: first tokens took so long."""
+    warm = [endpoint(n) for n in range(1, 9)]
+    cold = START + 5 * SECOND
+    first = []
+    for seed in range(200):
+        balancer, now = make(entries=warm, seed=seed)
+        now, _ = trickle(balancer, now, range(10), lambda server: 50 * MS, SECOND // 2)
+        assert now == cold
+        balancer.handle(now, Membership(ListKind.DELTA, 2, [endpoint(9, started=now)]))
+        _, used = trickle(balancer, now, range(10, 30), lambda server: 50 * MS, SECOND // 2)
+        if 9 in used:
+            first.append(used.index(9))
+    assert len([when for when in first if when < 6]) > 10
+    assert len([when for when in first if when == 0]) <= 10
+
+
+def test_one_long_silence_outweighs_answers_of_long_ago():
+    balancer, now = make(entries=[endpoint(n) for n in range(40)], effect=Effect.UNSAFE)
+    now, used = trickle(balancer, now, range(40), lambda server: 40 * MS)
+    server = balancer.servers[used[-1]]
+    before = server.rel
+    balancer._sample(server, 10.0)  # at once: one of many
+    small = server.rel - before
+    server.rel = before
+    balancer.now += 20 * SECOND
+    balancer._sample(server, 10.0)
+    assert server.rel - before > 4 * small
+
+
+def crowded(**more):
+    """A sidecar whose answers take as long as its aim, and a request that it may ask servers for."""
+    more = {"can_probe": True, "report_columns": ("qps", "inflight"), "price_probe": 1.0, **more}
+    balancer, now = make(entries=[endpoint(n) for n in range(40)], **more)
+    now, _ = trickle(balancer, now, range(30), lambda server: 20 * MS)
+    now += SECOND
+    balancer.settings.price_probe = more["price_probe"] / 100
+    balancer.base[0] = 500 * MS
+    actions = balancer.handle(now, request(99, now))
+    return balancer, now, kinds(actions, Probe), kinds(actions, Send)
+
+
+def test_a_crowded_sidecar_asks_two_servers_and_takes_the_one_that_holds_less():
+    """At full size the queue that a request met was of now, what was known of it of seconds ago."""
+    balancer, now, probes, sends = crowded()
+    assert len({probe.server for probe in probes}) == 2 and not sends
+    full, idle = (probe.server for probe in probes)
+    assert not balancer.handle(now + MS, ProbeResult(full, Status.OK, MS, (1.0, 30.0)))
+    done = balancer.handle(now + 2 * MS, ProbeResult(idle, Status.OK, MS, (1.0, 0.0)))
+    assert [action.server for action in kinds(done, Send)] == [idle]
+    assert not kinds(balancer.handle(now + SECOND, Timer(balancer.timer_token)), Send)
+
+
+def test_a_server_that_does_not_tell_in_time_is_passed_over_and_two_do_not_hold_a_request():
+    balancer, now, probes, _ = crowded()
+    told = probes[1].server
+    balancer.handle(now + MS, ProbeResult(told, Status.OK, MS, (1.0, 3.0)))
+    done = balancer.handle(now + 100 * MS, Timer(balancer.timer_token))
+    assert [action.server for action in kinds(done, Send)] == [told]
+    balancer, now, probes, _ = crowded()
+    for probe in probes:
+        balancer.handle(now + MS, ProbeResult(probe.server, Status.TIMEOUT, MS))
+    done = balancer.handle(now + 100 * MS, Timer(balancer.timer_token))
+    assert len(kinds(done, Send)) == 1
+
+
+def test_nothing_is_asked_where_it_may_not_be_or_does_not_pay():
+    assert not crowded(can_probe=False)[2]
+    assert not crowded(report_columns=())[2]
+    assert not crowded(price_probe=1000.0)[2]
+    quick, now, _, _ = crowded()
+    quick.base[0] = 20 * MS
+    assert not kinds(quick.handle(now + SECOND, request(100, now + SECOND)), Probe)
+
+
+def test_a_request_dropped_while_it_asks_stays_dropped():
+    balancer, now, probes, _ = crowded()
+    balancer.handle(now + MS, Dropped(99))
+    done = [balancer.handle(now + MS, ProbeResult(p.server, Status.OK, MS, (1.0, 0.0))) for p in probes]
+    done.append(balancer.handle(now + SECOND, Timer(balancer.timer_token)))
+    assert not [kinds(actions, Send, Refuse) for actions in done if kinds(actions, Send, Refuse)]
+
+
+def test_reports_that_are_no_numbers_change_nothing():
+    balancer, _, probes, _ = crowded()
+    server = balancer.servers[probes[0].server]
+    before = server.load, server.load_at
+    for odd in ((), (1.0,), (1.0, float("nan")), (1.0, -3.0), (1.0, float("inf"))):
+        balancer._heed(server, odd)
+    assert (server.load, server.load_at) == before
+
+
+def test_a_sidecar_with_a_request_now_and_then_sheds_in_overload_and_recovers():
+    """Incident i032b0e: 1476 sidecars, each with one in flight at the most, kept 88 servers choked."""
+    balancer, now = make(entries=[endpoint(n) for n in range(40)], effect=Effect.UNSAFE)
+    refused = {}
+    ident = 0
+    for phase, latency in (("before", 40 * MS), ("crowded", 900 * MS), ("after", 40 * MS)):
+        refused[phase] = 0
+        for step in range(60):
+            now += SECOND
+            ident += 1
+            sent = kinds(balancer.handle(now, request(ident, now)), Send)
+            refused[phase] += not sent and step >= 20
+            for action in sent:
+                done = Outcome(ident, 0, action.server, Status.OK, latency, True)
+                balancer.handle(now + latency, done)
+    assert refused["before"] == refused["after"] == 0
+    assert 4 < refused["crowded"] < 36
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,298 @@
+"""Overload, fairness and health: one small test for each failure found in incidents."""
+
+import heapq
+
+import pytest
+from helpers import MS, SECOND, START, endpoint, make, request, settings
+
+from dewway import Balancer
+from dewway.interface import (
+    Effect,
+    ListKind,
+    Membership,
+    Outcome,
+    PeerMessage,
+    Refuse,
+    Request,
+    RequestClass,
+    Send,
+    SetTimer,
+    Status,
+    Tell,
+    Tenant,
+    Timer,
+)
+
+
+class Feed:
+    """Sends requests at a steady pace and answers each attempt after a given time."""
+
+    def __init__(self, balancer, now):
+        self.balancer = balancer
+        self.now = now
+        self.queue = []
+        self.tie = 0
+        self.ident = 0
+        self.log = []
+
+    def _later(self, when, event):
+        self.tie += 1
+        heapq.heappush(self.queue, (when, self.tie, event))
+
+    def _handle(self, event, took):
+        for action in self.balancer.handle(self.now, event):
+            self.log.append((self.now, action))
+            if isinstance(action, SetTimer):
+                self._later(self.now + action.after_ns, Timer(action.token))
+            elif isinstance(action, Send):
+                latency = took(action.server)
+                if latency is not None:
+                    ok = Outcome(action.id, 0, action.server, Status.OK, latency, True)
+                    self._later(self.now + latency, ok)
+
+    def run(
+        self,
+        seconds,
+        per_second,
+        took,
+        cls=lambda n: 0,
+        tenant=lambda n: 0,
+        left=lambda n: 2 * SECOND,
+        again=lambda n: False,
+    ):
+        """Actions of this stretch, with their times."""
+        self.log = []
+        end = self.now + int(seconds * SECOND)
+        gap = SECOND // per_second
+        arrival = self.now
+        while arrival < end:
+            while self.queue and self.queue[0][0] <= arrival:
+                self.now, _, event = heapq.heappop(self.queue)
+                self._handle(event, took)
+            self.now = arrival
+            self.ident += 1
+            number = self.ident
+            due = arrival + left(number)
+            self._handle(Request(number, cls(number), tenant(number), due, is_retry=again(number)), took)
+            arrival += gap
+        return self.log
+
+
+def share(log, kind):
+    done = [a for _, a in log if isinstance(a, Send | Refuse)]
+    return sum(isinstance(a, kind) for a in done) / len(done)
+
+
+def fast(server):
+    return 40 * MS
+
+
+def late(server):
+    return 700 * MS
+
+
+@pytest.fixture
+def feed():
+    return Feed(*make(servers=6, effect=Effect.UNSAFE))
+
+
+def test_nothing_is_refused_while_answers_are_in_time(feed):
+    assert share(feed.run(10, 100, fast), Refuse) == 0
+
+
+def test_work_is_refused_when_all_answers_are_late_and_again_taken_when_they_are_not(feed):
+    feed.run(5, 100, fast)
+    feed.run(3, 100, late)
+    assert share(feed.run(3, 100, late), Refuse) > 0.3
+    feed.run(10, 100, fast)
+    assert share(feed.run(3, 100, fast), Refuse) < 0.05
+
+
+def test_the_usual_latency_is_not_learned_from_a_collapse(feed):
+    """Incident i545f60: it followed the collapse and the limit never bound."""
+    feed.run(5, 300, fast)
+    before = feed.balancer.usual[0]
+    feed.run(8, 300, late)
+    assert feed.balancer.usual[0] < 3 * before
+
+
+def test_the_limit_does_not_leap_after_a_cut(feed):
+    """Incident i545f60: tenfold within a second, filled at once by clients that came back."""
+    feed.run(5, 100, fast)
+    feed.run(5, 100, late)
+    limits = []
+    for _ in range(10):
+        feed.run(0.2, 100, fast)
+        limits.append(feed.balancer.limit)
+    known_good = feed.balancer.wanted_inflight
+    assert limits[-1] < 5 * max(known_good, limits[0])
+
+
+def test_a_smaller_fleet_gets_a_smaller_crowd_at_once(feed):
+    """Incident i8cc3a0: two servers got what seven had carried until their answers were late."""
+    feed.run(5, 100, fast)
+    before = feed.balancer.limit
+    feed.balancer.handle(feed.now, Membership(ListKind.FULL, 2, [endpoint(100), endpoint(101)]))
+    assert feed.balancer.limit < 0.4 * before
+    feed.balancer.handle(feed.now, Membership(ListKind.FULL, 3, [endpoint(100 + n) for n in range(6)]))
+    assert feed.balancer.limit < 0.4 * before  # more servers show by their answers
+
+
+def test_one_hung_server_does_not_make_the_sidecar_refuse(feed):
+    feed.run(5, 100, fast)
+    log = feed.run(8, 100, lambda server: None if server == 101 else 40 * MS)
+    assert share(log, Refuse) < 0.02
+
+
+def test_one_long_request_does_not_eject_its_server():
+    """Incident i4efe13: the same attempt struck its server at each of its time-outs."""
+    feed = Feed(*make(servers=6, effect=Effect.UNSAFE))
+    feed.run(5, 100, fast)
+    before = feed.ident
+    feed.run(1.9, 20, lambda server: None if feed.ident == before + 1 else 40 * MS)
+    assert not feed.balancer.ejected
+
+
+def test_most_servers_silent_at_once_is_load_and_ejects_few(feed):
+    feed.run(5, 100, fast)
+    feed.run(4, 100, lambda server: None)
+    assert len(feed.balancer.ejected) <= 2
+
+
+def test_broken_connections_eject_and_an_answer_readmits():
+    balancer, now = make(servers=6, effect=Effect.UNSAFE)
+    sends = []
+    for ident in range(30):
+        sends += [a for a in balancer.handle(now, request(ident, now)) if isinstance(a, Send)]
+    on_first = [a.id for a in sends if a.server == 100]
+    assert len(on_first) >= 3
+    now += 40 * MS
+    for ident in on_first[:2]:
+        balancer.handle(now, Outcome(ident, 0, 100, Status.RESET, 40 * MS, False))
+    assert [server.id for server in balancer.ejected] == [100]
+    later = [a for n in range(100, 150) for a in balancer.handle(now, request(n, now)) if isinstance(a, Send)]
+    assert later and all(a.server != 100 for a in later)
+    balancer.handle(now, Outcome(on_first[2], 0, 100, Status.OK, 40 * MS, True))
+    assert not balancer.ejected
+
+
+def refused_by_class(**more):
+    classes = [
+        RequestClass("cheap", 500 * MS, 2 * SECOND, 1.0, 0.2, Effect.UNSAFE),
+        RequestClass("dear", 500 * MS, 2 * SECOND, 9.0, 0.2, Effect.UNSAFE),
+    ]
+    feed = Feed(*make(servers=6, classes=classes, **more))
+    by_parity = {"cls": lambda n: n % 2}
+    feed.run(5, 100, fast, **by_parity)
+    log = feed.run(6, 100, lambda server: (40 + 25 * feed.balancer.inflight) * MS, **by_parity)
+    refused = [a.id % 2 for _, a in log if isinstance(a, Refuse)]
+    return refused.count(0), refused.count(1)
+
+
+def test_cheap_work_is_shed_before_dear_work():
+    cheap, dear = refused_by_class()
+    assert cheap > 1.5 * dear > 0
+
+
+def test_classes_are_shed_alike_where_the_worst_served_one_weighs_by_itself():
+    """Kitplan's rough-1: its lookups, cheap for their work, were the worst class by far."""
+    cheap, dear = refused_by_class(goal_worst_class=0.3)
+    assert 0 < cheap < 1.3 * dear
+
+
+@pytest.mark.parametrize("left, marked", [(900 * MS, True), (600 * MS, True), (600 * MS, False)])
+def test_a_clients_old_tries_are_shed_first_and_only_in_overload(feed, left, marked):
+    """Incident i8cc3a0: most of what was let through came too late, counted from the client's first try."""
+    old = {
+        "left": lambda n: 900 * MS if n % 2 else left,
+        "again": lambda n: marked and n % 2 == 0,
+    }
+    assert share(feed.run(5, 100, fast, **old), Refuse) == 0
+    log = feed.run(6, 100, lambda server: (40 + 25 * feed.balancer.inflight) * MS, **old)
+    refused = [a.id % 2 for _, a in log if isinstance(a, Refuse)]
+    assert refused.count(0) > 1.5 * refused.count(1)
+    assert refused.count(0) > 0
+
+
+def test_a_refused_client_is_asked_back_within_its_aim_unless_that_has_passed():
+    """Later, and its next try could only be late: much of what was served in i8cc3a0 was."""
+    feed = Feed(*make(servers=6, effect=Effect.UNSAFE, max_retry_after_ns=10 * SECOND))
+    old = {"left": lambda n: 1500 * MS if n % 2 else 1400 * MS}  # of 2 s, so these are 0.6 s old
+    feed.run(5, 100, fast, **old)
+    log = feed.run(6, 100, lambda server: (40 + 25 * feed.balancer.inflight) * MS, **old)
+    refused = [a for _, a in log if isinstance(a, Refuse)]
+    waits = {kind: [a.retry_after_ns for a in refused if a.id % 2 == kind] for kind in (0, 1)}
+    assert min(waits[1]) > 0 and max(waits[1]) < 500 * MS / 2
+    assert min(waits[0]) > 500 * MS / 2
+
+
+def test_a_tenant_over_its_share_is_refused_first_and_only_in_overload():
+    tenants = [Tenant("calm", 0.5, 50.0), Tenant("loud", 0.5, 50.0)]
+    feed = Feed(*make(servers=6, effect=Effect.UNSAFE, tenants=tenants, over_share_worth=0.1))
+    loud_mostly = {"tenant": lambda n: n % 5 != 0}
+    assert share(feed.run(5, 200, fast, **loud_mostly), Refuse) == 0
+    log = feed.run(6, 200, lambda server: 350 * MS, **loud_mostly)
+    refused = [a.id for _, a in log if isinstance(a, Refuse)]
+    sent = [a.id for _, a in log if isinstance(a, Send)]
+    rate = {loud: sum((n % 5 != 0) == loud for n in refused) for loud in (True, False)}
+    asked = {loud: rate[loud] + sum((n % 5 != 0) == loud for n in sent) for loud in (True, False)}
+    assert rate[True] / asked[True] > rate[False] / asked[False]
+
+
+def test_peers_rates_are_told_and_taken_and_corrupt_ones_skipped():
+    tenants = [Tenant("a", 0.5, 10.0), Tenant("b", 0.5, 10.0)]
+    config = settings(effect=Effect.UNSAFE, tenants=tenants, can_tell=True, fleet_size=2, index=0)
+    balancer = Balancer(config, 1)
+    balancer.handle(START, Membership(ListKind.FULL, 1, [endpoint(n) for n in range(4)]))
+    feed = Feed(balancer, START)
+    told = [a.data for _, a in feed.run(5, 20, fast, tenant=lambda n: 0) if isinstance(a, Tell)]
+    assert told
+    balancer.handle(feed.now, PeerMessage(1, told[-1][:3]))
+    balancer.handle(feed.now, PeerMessage(1, told[-1]))
+    feed.run(2, 20, fast, tenant=lambda n: 0)
+    assert balancer.over_share[0] > 0.5  # 20 here and 20 there, of 10
+    assert balancer.over_share[1] == 0.0
+
+
+def test_a_surge_is_let_in_only_as_far_as_answers_justify():
+    """Incident ibe9fc7: four times what was in flight, of late, grew with the surge until all was jammed."""
+    feed = Feed(*make(servers=40, effect=Effect.UNSAFE, fleet_size=8))
+    feed.run(5, 50, fast)
+    feed.run(0.4, 1000, lambda server: None)  # all are jammed, and none of it shows yet
+    assert feed.balancer.inflight < 80
+    calm = Feed(*make(servers=40, effect=Effect.UNSAFE, fleet_size=8))
+    calm.run(5, 50, fast)
+    assert share(calm.run(2, 150, fast), Refuse) < 0.05  # a burst that is answered is no such thing
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+def test_an_ejected_server_is_tried_again_one_request_at_a_time_by_any_class_where_none_is_safe(effect):
+    """Incident ifc0f20: no class of the site was safe, so what had recovered stayed ejected for good."""
+    balancer, now = make(servers=6, effect=effect)
+    lost = balancer.servers[100]
+    balancer._strike(lost, 5.0, 1.0)
+    assert lost.ejected
+    tried = []
+    for step in range(1000):
+        now += 10 * MS
+        for action in balancer.handle(now, request(step, now)):
+            if isinstance(action, Send) and action.server == 100:
+                tried.append(now)
+            elif isinstance(action, Send):
+                balancer.handle(now, Outcome(action.id, 0, action.server, Status.OK, 5 * MS, True))
+    assert len(tried) == 1
+    assert tried[0] - START > SECOND
+
+
+def test_only_a_safe_class_is_the_trial_where_there_is_one():
+    classes = [
+        RequestClass("safe", 500 * MS, 2 * SECOND, 1.0, 0.2, Effect.SAFE),
+        RequestClass("unsafe", 500 * MS, 2 * SECOND, 1.0, 0.2, Effect.UNSAFE),
+    ]
+    balancer, now = make(servers=6, classes=classes)
+    balancer._strike(balancer.servers[100], 5.0, 1.0)
+    now += 30 * SECOND
+    sent = [a for n in range(3) for a in balancer.handle(now, request(n, now, cls=1)) if isinstance(a, Send)]
+    assert sent and all(action.server != 100 for action in sent)
+    actions = balancer.handle(now, request(99, now, cls=0))
+    assert [a.server for a in actions if isinstance(a, Send)] == [100]
