--- a/dewway/__init__.py
+++ b/dykefold/__init__.py
@@ -1,4 +1,4 @@
-"""dewway: the decisions of a sidecar load balancer, without I/O."""
+"""dykefold: the decisions of a sidecar load balancer, without I/O."""
 
 from .interface import Settings
 from .logic import Balancer
--- a/dewway/logic.py
+++ b/dykefold/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of a sidecar. The types it takes and returns are in `dewway/interface.py`.
+"""Every decision of a sidecar. The types it takes and returns are in `dykefold/interface.py`.
 
 Reading order: tunables, records, then `Balancer`: events, picking, sending, retrying, health, cold
 servers, admission, the server list. The ordinary path of a request is `_on_request` -> `_pick` ->
--- a/dewway/wirehost.py
+++ b/dykefold/wirehost.py
@@ -355,7 +355,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except FrameError as error:
-        print(f"dewway: {error}", file=sys.stderr)
+        print(f"dykefold: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -1,6 +1,6 @@
 """The four rules, judged from outside by what went in and what came out. Shares no code with the module."""
 
-from dewway.interface import (
+from dykefold.interface import (
     Cancel,
     Effect,
     Fail,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """Small settings and events for the tests."""
 
-from dewway import Balancer
-from dewway.interface import (
+from dykefold import Balancer
+from dykefold.interface import (
     Effect,
     Endpoint,
     ListKind,
--- a/tests/test_little.py
+++ b/tests/test_little.py
@@ -3,7 +3,7 @@
 from helpers import MS, SECOND, START, endpoint, kinds, play_timers, request, send_one, serve
 from helpers import make as make_any
 
-from dewway.interface import (
+from dykefold.interface import (
     Dropped,
     Effect,
     Endpoint,
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,8 +5,8 @@
 import pytest
 from helpers import MS, SECOND, START, endpoint, make, request, settings
 
-from dewway import Balancer
-from dewway.interface import (
+from dykefold import Balancer
+from dykefold.interface import (
     Effect,
     ListKind,
     Membership,
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -7,8 +7,8 @@
 
 from helpers import MS, SECOND, START, endpoint, make, request, settings
 
-from dewway import Balancer
-from dewway.interface import Effect, ListKind, Membership, Outcome, Send, SetTimer, Status, Timer
+from dykefold import Balancer
+from dykefold.interface import Effect, ListKind, Membership, Outcome, Send, SetTimer, Status, Timer
 
 ROOT = Path(__file__).parent.parent
 
@@ -22,9 +22,9 @@
 
 
 def test_the_policy_file_stays_within_its_limits_and_names_the_interface_first():
-    text = (ROOT / "dewway" / "logic.py").read_text()
+    text = (ROOT / "dykefold" / "logic.py").read_text()
     assert len([line for line in text.splitlines() if line.strip()]) <= 1200
-    assert "dewway/interface.py" in text.splitlines()[0]
+    assert "dykefold/interface.py" in text.splitlines()[0]
 
 
 def _record(seed, others=0):
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dewway import Balancer, Settings
-from dewway.interface import (
+from dykefold import Balancer, Settings
+from dykefold.interface import (
     Cancel,
     Dropped,
     Effect,
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -3,7 +3,7 @@
 import pytest
 from helpers import MS, SECOND, kinds, make, play_timers, request, send_one, serve
 
-from dewway.interface import Effect, Fail, Outcome, Refuse, Send, Status, Timer
+from dykefold.interface import Effect, Fail, Outcome, Refuse, Send, Status, Timer
 
 
 def _finish(balancer, now, ident, server, status, attempt=0, final=False):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,8 @@
 
 from helpers import MS, SECOND, START, endpoint, kinds, make, play_timers, request, send_one, serve, settings
 
-from dewway import Balancer
-from dewway.interface import (
+from dykefold import Balancer
+from dykefold.interface import (
     Cancel,
     Dropped,
     Effect,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from dewway import wirehost
-from dewway.interface import Effect, Scope
+from dykefold import wirehost
+from dykefold.interface import Effect, Scope
 
 ROOT = Path(__file__).parent.parent
 TEXT = """\
@@ -154,11 +154,11 @@
 )
 def test_a_broken_frame_is_one_line_and_a_failure(data):
     run = subprocess.run(
-        [sys.executable, "-m", "dewway.wirehost"], input=data, capture_output=True, cwd=ROOT, check=False
+        [sys.executable, "-m", "dykefold.wirehost"], input=data, capture_output=True, cwd=ROOT, check=False
     )
     assert run.returncode != 0
     assert run.stdout == b""
-    assert run.stderr.startswith(b"dewway: ") and run.stderr.count(b"\n") == 1
+    assert run.stderr.startswith(b"dykefold: ") and run.stderr.count(b"\n") == 1
 
 
 def test_an_exception_of_the_module_becomes_an_error_record_with_its_text(monkeypatch):
