Read the settings in one place, from the text and from the nested object

The sidecar's configuration holds the settings as nested JSON, the simulator's first message as text. Both now go through settings.py; the adapter keeps its behaviour (its tests are unchanged but for the module's name).

--- /dev/null
+++ b/dykefold/settings.py
@@ -0,0 +1,196 @@
+"""The settings: one reading of both forms, the path=value text and the nested object."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from . import interface as api
+
+EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
+SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
+REPORTS = {
+    "active": "inflight",
+    "waiting": "queue",
+    "cpu": "util",
+    "avg_ms": "latency_ms",
+    "rps": "qps",
+    "err_rps": "eps",
+}
+
+
+class SettingError(ValueError):
+    """A required setting is missing or unreadable; the text names it."""
+
+
+@dataclass(slots=True)
+class Transport:
+    """What the module need not know, but the sockets do."""
+
+    kinds: list[str]
+    conn_idle_ns: int
+    max_open: int
+
+
+def canonical_column(name: str) -> str:
+    """The name that the module knows a field of load reports by."""
+    return REPORTS.get(name, name)
+
+
+def _name_list(raw: object) -> list[str]:
+    values = raw if isinstance(raw, list) else str(raw).split(",")
+    return [str(name) for name in values if name != ""]
+
+
+def _finite(raw: str) -> float:
+    value = float(raw)
+    if not math.isfinite(value):
+        raise ValueError(raw)
+    return value
+
+
+class _Pairs:
+    """Settings by their path, with errors that name it."""
+
+    def __init__(self, values: dict[str, object]) -> None:
+        self.values = values
+
+    def _convert(self, key: str, kind, default):
+        raw = self.values.get(key)
+        if raw is None:
+            if default is None:
+                raise SettingError(f"setting {key} is missing")
+            return default
+        try:
+            return kind(raw)
+        except (ValueError, KeyError, TypeError, OverflowError):
+            raise SettingError(f"setting {key} is unreadable: {raw!r}") from None
+
+    def text(self, key: str, default: str | None = None) -> str:
+        return self._convert(key, str, default)
+
+    def whole(self, key: str, default: int | None = None) -> int:
+        return self._convert(key, lambda raw: int(_finite(raw)), default)
+
+    def number(self, key: str, default: float | None = None) -> float:
+        return self._convert(key, _finite, default)
+
+    def flag(self, key: str, default: bool | None = None) -> bool:
+        return self._convert(
+            key, {"true": True, "false": False, True: True, False: False}.__getitem__, default
+        )
+
+    def choice(self, key: str, choices: dict, default=None):
+        return self._convert(key, choices.__getitem__, default)
+
+    def names(self, key: str) -> list[str]:
+        """A list of plain values; the text form joins it with commas, the nested one has it as it is."""
+        return self._convert(key, _name_list, [])
+
+
+def _request_class(pairs: _Pairs, at: str) -> api.RequestClass:
+    deadline = pairs.whole(at + "deadline-ns")
+    if deadline <= 0:
+        raise SettingError(f"setting {at}deadline-ns is unreadable: no time to answer in")
+    return api.RequestClass(
+        name=pairs.text(at + "name", ""),
+        objective_ns=pairs.whole(at + "objective-ns", deadline),
+        deadline_ns=deadline,
+        worth=pairs.number(at + "points", 1.0),
+        late_worth=pairs.number(at + "late-value", 0.0),
+        effect=pairs.choice(at + "repeat", EFFECTS),
+        scope=pairs.choice(at + "key-scope", SCOPES, api.Scope.CELL),
+        window_ns=pairs.whole(at + "window-ns", 0),
+        stream=pairs.flag(at + "stream", False),
+    )
+
+
+def parse_settings(text: str) -> api.Settings:
+    """Read the settings text; unknown keys are skipped, unreadable ones raise SettingError."""
+    return _read(_Pairs(dict(line.split("=", 1) for line in text.splitlines() if "=" in line)))
+
+
+def nested_settings(nested: object) -> api.Settings:
+    """Read the same settings from the nested object of a sidecar's configuration."""
+    return _read(_pairs_of(nested))
+
+
+def nested_transport(nested: object) -> Transport:
+    """Read from that object what the sockets need to know beside."""
+    pairs = _pairs_of(nested)
+    return Transport(
+        kinds=pairs.names("kinds"),
+        conn_idle_ns=pairs.whole("ceilings.conn-idle-ns", 60_000_000_000),
+        max_open=pairs.whole("ceilings.max-open", 20_000),
+    )
+
+
+def _pairs_of(nested: object) -> _Pairs:
+    if not isinstance(nested, dict):
+        raise SettingError("settings are no object")
+    values: dict[str, object] = {}
+    _flatten("", nested, values)
+    return _Pairs(values)
+
+
+def _flatten(at: str, value: object, into: dict[str, object]) -> None:
+    """Give each value of the nested form the path that it has in the text form."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            _flatten(f"{at}.{key}" if at else key, inner, into)
+    elif isinstance(value, list) and value and all(isinstance(inner, dict) for inner in value):
+        into[f"{at}.count"] = len(value)
+        for number, inner in enumerate(value):
+            _flatten(f"{at}.{number}", inner, into)
+    else:
+        into[at] = value
+
+
+def _read(pairs: _Pairs) -> api.Settings:
+    count = pairs.whole("classes.count")
+    if count < 1:
+        raise SettingError("setting classes.count is unreadable: no class")
+    tenants = [
+        api.Tenant(
+            name=pairs.text(f"accounts.{n}.name", ""),
+            share=pairs.number(f"accounts.{n}.share", 0.0),
+            quota_per_s=pairs.number(f"accounts.{n}.allowance-per-s", 0.0),
+        )
+        for n in range(pairs.whole("accounts.count", 0))
+    ]
+    reports = pairs.text("telemetry.how", "silent") != "silent"
+    columns = tuple(canonical_column(name) for name in pairs.names("telemetry.columns"))
+    return api.Settings(
+        classes=[_request_class(pairs, f"classes.{n}.") for n in range(count)],
+        zones=pairs.names("dcs"),
+        zone=pairs.whole("my-zone", 0),
+        tenants=tenants,
+        over_share_worth=pairs.number("over-share-worth", 1.0),
+        worth_by_work=pairs.text("worth-by", "request") == "work",
+        index=pairs.whole("index", 0),
+        fleet_size=pairs.whole("fleet-size", 1),
+        tick_ns=pairs.whole("tick-ns", 1_000_000),
+        must_ask=pairs.text("discovery", "push") == "ask",
+        must_ask_in_ns=pairs.whole("rules.must-ask-in-ns", 10_000_000_000),
+        drain_grace_ns=pairs.whole("rules.drain-grace-ns", 0),
+        answer_slack_ns=pairs.whole("rules.answer-slack-ns", 0),
+        start_capacity=pairs.number("rules.start-capacity", 1.0),
+        warm_within_ns=pairs.whole("rules.warm-within-ns", 0),
+        overload_factor=pairs.number("rules.overload-factor", 3.0),
+        overload_for_ns=pairs.whole("rules.overload-for-ns", 3_000_000_000),
+        max_attempts=pairs.whole("ceilings.send-cap"),
+        second_copies=pairs.flag("ceilings.second-copies", False),
+        can_cancel=pairs.flag("ceilings.cancel", False),
+        can_probe=pairs.flag("ceilings.probing", False),
+        can_tell=pairs.flag("ceilings.peers", False),
+        retry_after=pairs.flag("ceilings.retry-after", False),
+        max_retry_after_ns=pairs.whole("ceilings.max-retry-after-ns", 0),
+        connect_timeout_ns=pairs.whole("ceilings.connect-timeout-ns", 0),
+        report_columns=columns if reports else (),
+        weighted=pairs.text("weight-source", "silent") != "silent",
+        goal_worst_class=pairs.number("goal.worst-class", 0.0),
+        price_cross_zone=pairs.number("prices.cross-zone", 0.0),
+        price_waste=pairs.number("prices.waste", 0.0),
+        price_probe=pairs.number("prices.probe", 0.0),
+        price_peer=pairs.number("prices.peer", 0.0),
+    )
--- a/dykefold/wirehost.py
+++ b/dykefold/wirehost.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 import struct
 import sys
 import traceback
@@ -14,6 +13,7 @@
 
 from . import interface as api
 from .logic import Balancer
+from .settings import SettingError, parse_settings
 
 HEADER = struct.Struct("<QI")
 REPLY = struct.Struct("<II")
@@ -63,136 +63,10 @@
     2: api.ListKind.CACHED,
     3: api.ListKind.FAILED,
 }
-EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
-SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
-REPORTS = {
-    "active": "inflight",
-    "waiting": "queue",
-    "cpu": "util",
-    "avg_ms": "latency_ms",
-    "rps": "qps",
-    "err_rps": "eps",
-}
 
 
 class FrameError(Exception):
-    """The input is no frame of this protocol, or a setting in it is of the wrong form."""
-
-
-class SettingError(FrameError, ValueError):
-    """A required setting is missing or unreadable; the text names it."""
-
-
-def _finite(raw: str) -> float:
-    value = float(raw)
-    if not math.isfinite(value):
-        raise ValueError(raw)
-    return value
-
-
-class _Pairs:
-    """The settings text, with errors that name the key."""
-
-    def __init__(self, text: str) -> None:
-        self.values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
-
-    def _convert(self, key: str, kind, default):
-        raw = self.values.get(key)
-        if raw is None:
-            if default is None:
-                raise SettingError(f"setting {key} is missing")
-            return default
-        try:
-            return kind(raw)
-        except (ValueError, KeyError):
-            raise SettingError(f"setting {key} is unreadable: {raw!r}") from None
-
-    def text(self, key: str, default: str | None = None) -> str:
-        return self._convert(key, str, default)
-
-    def whole(self, key: str, default: int | None = None) -> int:
-        return self._convert(key, lambda raw: int(_finite(raw)), default)
-
-    def number(self, key: str, default: float | None = None) -> float:
-        return self._convert(key, _finite, default)
-
-    def flag(self, key: str, default: bool | None = None) -> bool:
-        return self._convert(key, {"true": True, "false": False}.__getitem__, default)
-
-    def choice(self, key: str, choices: dict, default=None):
-        return self._convert(key, choices.__getitem__, default)
-
-    def names(self, key: str) -> list[str]:
-        return [name for name in self.text(key, "").split(",") if name]
-
-
-def _request_class(pairs: _Pairs, at: str) -> api.RequestClass:
-    deadline = pairs.whole(at + "deadline-ns")
-    if deadline <= 0:
-        raise SettingError(f"setting {at}deadline-ns is unreadable: no time to answer in")
-    return api.RequestClass(
-        name=pairs.text(at + "name", ""),
-        objective_ns=pairs.whole(at + "objective-ns", deadline),
-        deadline_ns=deadline,
-        worth=pairs.number(at + "points", 1.0),
-        late_worth=pairs.number(at + "late-value", 0.0),
-        effect=pairs.choice(at + "repeat", EFFECTS),
-        scope=pairs.choice(at + "key-scope", SCOPES, api.Scope.CELL),
-        window_ns=pairs.whole(at + "window-ns", 0),
-        stream=pairs.flag(at + "stream", False),
-    )
-
-
-def parse_settings(text: str) -> api.Settings:
-    """Read the settings text; unknown keys are skipped, unreadable ones raise SettingError."""
-    pairs = _Pairs(text)
-    count = pairs.whole("classes.count")
-    if count < 1:
-        raise SettingError("setting classes.count is unreadable: no class")
-    tenants = [
-        api.Tenant(
-            name=pairs.text(f"accounts.{n}.name", ""),
-            share=pairs.number(f"accounts.{n}.share", 0.0),
-            quota_per_s=pairs.number(f"accounts.{n}.allowance-per-s", 0.0),
-        )
-        for n in range(pairs.whole("accounts.count", 0))
-    ]
-    reports = pairs.text("telemetry.how", "silent") != "silent"
-    columns = tuple(REPORTS.get(name, name) for name in pairs.names("telemetry.columns"))
-    return api.Settings(
-        classes=[_request_class(pairs, f"classes.{n}.") for n in range(count)],
-        zones=pairs.names("dcs"),
-        zone=pairs.whole("my-zone", 0),
-        tenants=tenants,
-        over_share_worth=pairs.number("over-share-worth", 1.0),
-        worth_by_work=pairs.text("worth-by", "request") == "work",
-        index=pairs.whole("index", 0),
-        fleet_size=pairs.whole("fleet-size", 1),
-        tick_ns=pairs.whole("tick-ns", 1_000_000),
-        must_ask=pairs.text("discovery", "push") == "ask",
-        must_ask_in_ns=pairs.whole("rules.must-ask-in-ns", 10_000_000_000),
-        drain_grace_ns=pairs.whole("rules.drain-grace-ns", 0),
-        answer_slack_ns=pairs.whole("rules.answer-slack-ns", 0),
-        start_capacity=pairs.number("rules.start-capacity", 1.0),
-        warm_within_ns=pairs.whole("rules.warm-within-ns", 0),
-        overload_factor=pairs.number("rules.overload-factor", 3.0),
-        overload_for_ns=pairs.whole("rules.overload-for-ns", 3_000_000_000),
-        max_attempts=pairs.whole("ceilings.send-cap"),
-        second_copies=pairs.flag("ceilings.second-copies", False),
-        can_cancel=pairs.flag("ceilings.cancel", False),
-        can_probe=pairs.flag("ceilings.probing", False),
-        can_tell=pairs.flag("ceilings.peers", False),
-        retry_after=pairs.flag("ceilings.retry-after", False),
-        max_retry_after_ns=pairs.whole("ceilings.max-retry-after-ns", 0),
-        connect_timeout_ns=pairs.whole("ceilings.connect-timeout-ns", 0),
-        report_columns=columns if reports else (),
-        weighted=pairs.text("weight-source", "silent") != "silent",
-        goal_worst_class=pairs.number("goal.worst-class", 0.0),
-        price_cross_zone=pairs.number("prices.cross-zone", 0.0),
-        price_waste=pairs.number("prices.waste", 0.0),
-        price_probe=pairs.number("prices.probe", 0.0),
-        price_peer=pairs.number("prices.peer", 0.0),
-    )
+    """The input is no frame of this protocol."""
 
 
 class Host:
@@ -239,7 +113,7 @@
                 if type(event) is api.Request and event.cls >= len(balancer.settings.classes):
                     raise FrameError(f"request {event.id} is of unknown class {event.cls}")
                 self._encode(instance, balancer.handle(now, event))
-        except FrameError:
+        except (FrameError, SettingError):
             raise
         except Exception as error:  # the wire has a word for any failure of the module
             traceback.print_exc(file=sys.stderr)
@@ -354,7 +228,7 @@
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except FrameError as error:
+    except (FrameError, SettingError) as error:
         print(f"dykefold: {error}", file=sys.stderr)
         return 1
     return 0
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from dykefold import wirehost
+from dykefold import settings, wirehost
 from dykefold.interface import Effect, Scope
 
 ROOT = Path(__file__).parent.parent
@@ -183,7 +183,7 @@
 
 
 def test_settings_are_read_and_unknown_keys_skipped():
-    got = wirehost.parse_settings(TEXT)
+    got = settings.parse_settings(TEXT)
     assert [c.effect for c in got.classes] == [Effect.SAFE, Effect.KEYED]
     assert got.classes[1].scope is Scope.ZONE
     assert got.classes[1].window_ns == 500
@@ -198,7 +198,7 @@
     lines = [line for line in TEXT.splitlines() if not line.startswith(key + "=")]
     for text in ("\n".join(lines), "\n".join([*lines, key + "=?"])):
         with pytest.raises(ValueError, match=key):
-            wirehost.parse_settings(text)
+            settings.parse_settings(text)
 
 
 def test_instances_act_alike_together_and_apart():
