--- /dev/null
+++ b/dykefold/__main__.py
@@ -0,0 +1,126 @@
+"""The real sidecar as a process: its configuration, signals and exit code."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+from dataclasses import dataclass
+
+import uvloop
+
+from .interface import Settings
+from .net.discovery import ListError, Names, News, read_news, split_address
+from .net.engine import Engine
+from .net.front import Front
+from .net.peers import Address, Peers
+from .settings import Transport, nested_settings, nested_transport
+
+log = logging.getLogger("dykefold")
+
+BACKLOG = 512
+SOCKETS = 1024  # where the configuration names no limit
+
+
+class ConfigError(Exception):
+    """The sidecar can't start; the text says why in one line."""
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    peer_listen: Address | None
+    peers: list[Address]
+    peers_all: Address | None
+    settings: Settings
+    transport: Transport
+    names: Names
+    known: News
+
+
+def read_config(path: str | None) -> Config:
+    if not path:
+        raise ConfigError("GW_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = json.load(file)
+        settings = nested_settings(data["settings"])
+        transport = nested_transport(data["settings"])
+        names = Names(settings.zones, transport.kinds)
+        limit = int(data.get("limits", {}).get("sockets", SOCKETS))
+        return Config(
+            name=str(data["name"]),
+            listen=split_address(data["listen"]),
+            discovery=split_address(data["discovery"]),
+            seed=int(data["seed"], 16),
+            sockets=min(limit, SOCKETS),
+            peer_listen=split_address(data["peer_listen"]) if data.get("peer_listen") else None,
+            peers=[split_address(peer) for peer in data.get("peers", [])],
+            peers_all=split_address(data["peers_all"]) if data.get("peers_all") else None,
+            settings=settings,
+            transport=transport,
+            names=names,
+            known=read_news(data["known"], names),
+        )
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from None
+    except ListError as error:
+        raise ConfigError(f"{path}: known is unreadable: {error}") from None
+    except (OSError, ValueError, TypeError, AttributeError, RecursionError) as error:
+        raise ConfigError(f"{path}: {' '.join(str(error).split())}") from None
+
+
+async def run(config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    engine = Engine(
+        loop,
+        config.settings,
+        config.transport,
+        config.seed,
+        config.sockets,
+        config.discovery,
+        config.names,
+        config.known,
+    )
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, engine.drain)
+    try:
+        if config.peer_listen is not None and config.settings.can_tell:
+            peers = Peers(config.settings.index, config.peers, config.peers_all, engine.on_peer)
+            await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
+            engine.peers = peers
+        engine.server = await loop.create_server(lambda: Front(engine), *config.listen, backlog=BACKLOG)
+    except OSError as error:
+        raise ConfigError(f"can't listen: {error}") from None
+    # What was made until now lives as long as the process: collections need not look at it again, nor
+    # come as often as for a program that makes cycles.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    log.info("%s listens at %s:%d", config.name, *config.listen)
+    await engine.stopped
+    engine.close()
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        config = read_config(os.environ.get("GW_CONFIG"))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(run(config))
+    except ConfigError as error:
+        print(f"dykefold: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dykefold/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real sidecar's sockets round the decision module."""
--- /dev/null
+++ b/dykefold/net/discovery.py
@@ -0,0 +1,200 @@
+"""The list of servers: what discovery's answers say, and the calls that ask for them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+
+from ..interface import Endpoint, ListKind, Membership, State, Status
+from .upstream import Answer, Descriptors, Exchange, Upstreams
+
+log = logging.getLogger("dykefold.discovery")
+
+STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
+WATCH_MS = 20_000
+ANSWER_WITHIN = 3.5  # seconds beyond a watch's own wait: discovery works through calls in turn
+CONNECT_WITHIN = 2.0
+LIST_MOST = 4 * 1024 * 1024
+CALLS_APART = 0.1  # seconds between calls that are answered at once with nothing new
+PUSHED_AGAIN = 0.5  # seconds until the agent on the own machine is asked again after a failure
+DISCOVERY = 0  # the one target of the calls' own connections
+
+
+class ListError(ValueError):
+    """What came is no list of servers."""
+
+
+@dataclass(slots=True)
+class Listed:
+    """One entry, with what only the sockets need."""
+
+    endpoint: Endpoint
+    address: tuple[str, int]
+    since_ms: int
+
+
+@dataclass(slots=True)
+class News:
+    """One answer of discovery."""
+
+    version: int
+    complete: bool
+    entries: list[Listed]
+
+    def membership(self, kind: ListKind | None = None) -> Membership:
+        kind = kind or (ListKind.FULL if self.complete else ListKind.DELTA)
+        return Membership(kind, self.version, [entry.endpoint for entry in self.entries])
+
+
+class Names:
+    """The numbers by which the module knows servers, zones and kinds."""
+
+    def __init__(self, zones: list[str], kinds: list[str]) -> None:
+        self.servers: dict[str, int] = {}
+        self.zones = {name: number for number, name in enumerate(zones)}
+        self.kinds = {name: number for number, name in enumerate(kinds)}
+        self.next_server = 1
+
+    def server(self, name: str) -> int:
+        number = self.servers.get(name)
+        if number is None:
+            number = self.servers[name] = self.next_server
+            self.next_server += 1
+        return number
+
+    def keep(self, numbers: set[int]) -> None:
+        """Drop the names of servers that are no more, lest they grow in number for ever."""
+        self.servers = {name: number for name, number in self.servers.items() if number in numbers}
+
+
+def split_address(text: object) -> tuple[str, int]:
+    """An address as host and port; ValueError if it is none."""
+    host, colon, port = str(text).rpartition(":")
+    socket.inet_aton(host) if host else None
+    if not colon or not host or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def read_news(data: object, names: Names) -> News:
+    """Read a list or a change of it, whole or not at all."""
+    try:
+        if not isinstance(data, dict) or not isinstance(data["endpoints"], list):
+            raise ListError("no list of endpoints")
+        entries = [_read_entry(entry, names) for entry in data["endpoints"]]
+        return News(int(data["index"]), bool(data["snapshot"]), entries)
+    except (KeyError, TypeError, ValueError, OverflowError, OSError, AttributeError) as error:
+        raise ListError(f"{type(error).__name__}: {error}") from None
+
+
+def _read_entry(entry: dict, names: Names) -> Listed:
+    since_ms = int(entry.get("since_ms") or 0)
+    if since_ms < 0:
+        raise ListError(f"since_ms is {since_ms}")
+    zone, kind = str(entry.get("zone", "")), str(entry.get("type", ""))
+    endpoint = Endpoint(
+        server=names.server(str(entry["name"])),
+        zone=names.zones.setdefault(zone, len(names.zones)),
+        kind=names.kinds.setdefault(kind, len(names.kinds)),
+        cell=int(entry.get("group") or 0),
+        # A status of tomorrow is no invitation to send anything new.
+        state=STATES.get(entry["status"], State.DRAINING),
+        weight=float(entry.get("weight", 1.0)),
+        started_ns=since_ms * 1_000_000,
+    )
+    return Listed(endpoint, split_address(entry["address"]), since_ms)
+
+
+class Discovery:
+    """Watches and fetches when told to; any failure is news of its own and ends no watcher for good."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: tuple[str, int],
+        names: Names,
+        version: int,
+        heard: Callable[[News | None], None],
+        pushed: bool,
+    ) -> None:
+        self.loop = loop
+        self.names = names
+        self.version = version
+        self.heard = heard
+        self.pushed = pushed
+        self.host = f"{address[0]}:{address[1]}"
+        # Connections of its own: the cap on those to servers must never keep the list from being read.
+        self.calls = Upstreams(loop, Descriptors(1024), CONNECT_WITHIN, 30.0)
+        self.calls.update(DISCOVERY, address, 0, State.READY)
+        self.watching = False
+        self.called = 0.0
+
+    def watch(self, on: bool) -> None:
+        if on and not self.watching:
+            self.watching = True
+            self._next_watch()
+        elif not on:
+            self.watching = False
+
+    def fetch(self) -> None:
+        self._call("/api/targets", ANSWER_WITHIN, self._fetched)
+
+    def _next_watch(self) -> None:
+        self.called = monotonic()
+        target = f"/api/targets?after={self.version}&wait_ms={WATCH_MS}"
+        self._call(target, WATCH_MS / 1000 + ANSWER_WITHIN, self._watched)
+
+    def _call(self, target: str, within: float, done: Callable[[News | None, str], None]) -> None:
+        payload = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
+
+        def ended(_: Exchange, status: Status, answer: Answer | None) -> None:
+            news, reason = None, status.name
+            if status is Status.OK and answer is not None:
+                try:
+                    news = read_news(json.loads(answer.body), self.names)
+                except (ValueError, RecursionError) as error:
+                    reason = str(error)
+            elif answer is not None:
+                reason = f"answer {answer.code}"
+            done(news, reason)
+
+        self.calls.start(DISCOVERY, Exchange(payload, ended, LIST_MOST), within)
+
+    def _watched(self, news: News | None, reason: str) -> None:
+        if not self.watching:
+            return
+        if news is None:
+            self.watching = False
+            log.warning("watch failed: %s", reason)
+            if self.pushed:  # nobody asks the agent but this; the module only waits for what it tells
+                self.loop.call_later(PUSHED_AGAIN, self.watch, True)
+        try:
+            self._take(news)
+        finally:
+            if self.watching:
+                # Guards against asking an agent in a tight loop; a pause within 200 ms ends no watch.
+                idle = news is not None and not news.entries
+                pause = CALLS_APART - (monotonic() - self.called) if idle else 0.0
+                if pause > 0.0:
+                    self.loop.call_later(pause, self._next_watch)
+                else:
+                    self._next_watch()
+
+    def _fetched(self, news: News | None, reason: str) -> None:
+        if news is None:
+            log.warning("fetch failed: %s", reason)
+        self._take(news)
+
+    def _take(self, news: News | None) -> None:
+        if news is not None:
+            self.version = news.version
+        self.heard(news)
+
+    def close(self) -> None:
+        self.watching = False
+        self.calls.close()
--- /dev/null
+++ b/dykefold/net/engine.py
@@ -0,0 +1,446 @@
+"""Drives the decision module: socket events in, its actions out, and a last guard on each request."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections import deque
+from dataclasses import dataclass
+from time import monotonic, monotonic_ns, time_ns
+
+from .. import interface as api
+from ..interface import Settings, State, Status
+from ..logic import Balancer
+from ..settings import Transport, canonical_column
+from .discovery import Discovery, Listed, Names, News
+from .front import BODY_MOST, Call, Front, Grammar
+from .peers import Address, Peers
+from .upstream import Answer, Descriptors, Exchange, Upstreams
+
+log = logging.getLogger("dykefold")
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+ATTEMPT_MARGIN_NS = 15 * MS  # before the client's deadline the last attempt is given up
+GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
+BODIES_MOST = 48 * 1024 * 1024  # of all requests together: the memory limit is for the whole process
+PROBE_TIMEOUT = 0.4  # seconds
+SWEEP_EVERY = 1.0
+ACCEPT_AFTER_TERM = 0.5  # seconds for which new connections and requests still come
+ANSWER_AFTER_TERM = 3.3  # seconds after which nothing held goes unanswered: the platform kills soon after
+FLUSH_AFTER_TERM = 0.3  # seconds beyond that for clients to read their answers
+
+
+class Clock:
+    """Monotonic time on the scale of Unix time, which the starts of servers are told in."""
+
+    def __init__(self) -> None:
+        self.offset = time_ns() - monotonic_ns()
+
+    def now(self) -> int:
+        return self.offset + monotonic_ns()
+
+
+@dataclass(slots=True)
+class Attempt:
+    request: int
+    number: int
+    server: int
+    sent_ns: int
+    exchange: Exchange | None = None
+
+
+@dataclass(slots=True)
+class Held:
+    """A request that this sidecar has taken."""
+
+    id: int
+    call: Call
+    front: Front
+    timer: asyncio.TimerHandle | None = None
+    attempts: int = 0
+    may_have_run: bool = False  # some attempt has ended without a proof that it did not
+    owed: bool = True  # its final answer
+
+
+class Reports:
+    """Reads load reports by the names of their fields, in the order that the module expects."""
+
+    def __init__(self, columns: tuple[str, ...]) -> None:
+        self.columns = columns
+        self.places = {column.encode(): place for place, column in enumerate(columns)}
+
+    def read(self, text: bytes) -> tuple[float, ...]:
+        """The figures; none at all if one is missing or unreadable."""
+        values: list[float | None] = [None] * len(self.columns)
+        for pair in text.split(b","):
+            name, _, value = pair.partition(b"=")
+            name = name.strip()
+            place = self.places.get(name)
+            if place is None:
+                place = self.places.get(canonical_column(name.decode("latin-1")).encode())
+            if place is not None:
+                try:
+                    values[place] = float(value)
+                except ValueError:
+                    return ()
+        known = [value for value in values if value is not None and math.isfinite(value)]
+        return tuple(known) if len(known) == len(values) else ()
+
+
+class Engine:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: Settings,
+        transport: Transport,
+        seed: int,
+        sockets: int,
+        discovery: Address,
+        names: Names,
+        known: News,
+    ) -> None:
+        self.loop = loop
+        self.settings = settings
+        self.max_open = transport.max_open
+        self.names = names
+        self.now = Clock().now
+        self.balancer = Balancer(settings, seed)
+        self.grammar = Grammar(settings)
+        self.reports = Reports(settings.report_columns)
+        self.probe_path = b"/-/load" if settings.report_columns else b"/-/healthy"
+        self.descriptors = Descriptors(sockets)
+        connect_timeout = settings.connect_timeout_ns / SECOND or 1.0
+        self.upstreams = Upstreams(loop, self.descriptors, connect_timeout, transport.conn_idle_ns / SECOND)
+        self.discovery = Discovery(
+            loop, discovery, names, known.version, self.on_news, pushed=not settings.must_ask
+        )
+        self.peers: Peers | None = None
+        self.held: dict[int, Held] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}  # those out, also of requests that are over
+        self.fronts: dict[Front, None] = {}  # in the order of their coming
+        self.next_id = 1
+        self.bodies = 0
+        self.events: deque[api.Event] = deque()
+        self.handling = False
+        self.draining = False
+        self.stopped = loop.create_future()
+        self.server: asyncio.Server | None = None
+        self.reported_at = -math.inf  # when an exception of the module was last logged
+        self._apply(known, api.ListKind.CACHED)
+        if not settings.must_ask:
+            self.discovery.watch(True)
+        self._sweep()
+
+    # Events to the module, its actions
+
+    def post(self, event: api.Event) -> None:
+        """Hand the module an event after those that came before it; then do what it says."""
+        self.events.append(event)
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    actions = self.balancer.handle(self.now(), event)
+                except Exception:
+                    # Guards all other requests against a fault in one; the last guard answers that one.
+                    self._fault("the module failed on an event")
+                    actions = self.balancer.actions
+                for action in actions:
+                    try:
+                        self._act(action)
+                    except Exception:
+                        self._fault("an action failed")
+        finally:
+            self.handling = False
+
+    def _fault(self, text: str) -> None:
+        if monotonic() - self.reported_at >= 1.0:
+            self.reported_at = monotonic()
+            log.exception(text)
+
+    def _act(self, action: api.Action) -> None:
+        kind = type(action)
+        if kind is api.Send:
+            self._send(action)
+        elif kind is api.SetTimer:
+            # Whole milliseconds, upwards: the loop counts in these, and an early bell rings for nothing.
+            self.loop.call_later(-(-action.after_ns // MS) / 1000, self.post, api.Timer(action.token))
+        elif kind is api.Refuse:
+            self._refuse(action)
+        elif kind is api.Fail:
+            held = self.held.get(action.id)
+            if held is not None:
+                self._finish(held, 502, b"", b"failed\n")
+        elif kind is api.Cancel:
+            self._cancel(action)
+        elif kind is api.Probe:
+            self._probe(action.server)
+        elif kind is api.CloseIdle:
+            self.upstreams.close_idle(action.server)
+        elif kind is api.Tell:
+            if self.peers is not None:
+                self.peers.tell(action.data, action.peer)
+        elif kind is api.Watch:
+            self.discovery.watch(action.on)
+        elif kind is api.Fetch:
+            self.discovery.fetch()
+        elif kind is api.Log:
+            log.info(action.text)
+        else:
+            raise TypeError(f"no action: {action!r}")
+
+    # Requests
+
+    def take(self, front: Front, call: Call) -> None:
+        """Take a request: from here on it is owed one final answer."""
+        held = Held(self.next_id, call, front)
+        call.ticket = held.id
+        self.next_id += 1
+        self.held[held.id] = held
+        if len(self.held) > self.max_open:
+            self._finish(held, 503, b"", b"too many open requests\n")
+            return
+        now = self.now()
+        left = max(call.deadline_ns - GUARD_MARGIN_NS - now, 0)
+        held.timer = self.loop.call_later(left / SECOND, self._guard, held)
+        self.post(
+            api.Request(
+                held.id,
+                call.cls,
+                call.tenant,
+                call.deadline_ns,
+                call.key,
+                call.cost_ns,
+                call.is_retry,
+                call.method == b"POST",
+            )
+        )
+
+    def _guard(self, held: Held) -> None:
+        """Time is up: whatever the module still plans, the client gets its answer now."""
+        if not held.owed:
+            return
+        for number in range(held.attempts):
+            attempt = self.attempts.get((held.id, number))
+            if attempt is not None and attempt.exchange is not None:
+                attempt.exchange.give_up(Status.TIMEOUT)
+        if held.owed:
+            if held.may_have_run:
+                self._finish(held, 504, b"", b"failed: out of time\n")
+            else:
+                self._finish(held, 503, b"", b"refused: out of time\n")
+            self.post(api.Dropped(held.id))
+
+    def _finish(self, held: Held, code: int, headers: bytes, body: bytes) -> None:
+        """Give the one final answer."""
+        self._settle(held)
+        held.front.answer(held.call, code, headers, body)
+
+    def _settle(self, held: Held) -> None:
+        held.owed = False
+        self.held.pop(held.id, None)
+        if held.timer is not None:
+            held.timer.cancel()
+        if self.draining:
+            self._end_if_done()
+
+    def _refuse(self, action: api.Refuse) -> None:
+        held = self.held.get(action.id)
+        if held is None:
+            return
+        headers = b""
+        if action.retry_after_ns > 0:
+            headers = b"Retry-After: %.3f\r\n" % (action.retry_after_ns / SECOND)
+        self._finish(held, 503, headers, b"refused\n")
+
+    # Attempts
+
+    def _send(self, action: api.Send) -> None:
+        held = self.held.get(action.id)
+        if held is None:
+            return  # over already: the module was told, or will be by an event in the queue
+        now = self.now()
+        attempt = Attempt(held.id, held.attempts, action.server, now)
+        held.attempts += 1
+        self.attempts[held.id, attempt.number] = attempt
+        last = held.call.deadline_ns - ATTEMPT_MARGIN_NS - now
+        wait = min(action.timeout_ns, last) if action.timeout_ns > 0 else last
+        if held.attempts > self.settings.max_attempts or wait <= 0:
+            self._end_attempt(held, attempt, Status.MOOT, None)
+            return
+
+        def done(_: Exchange, status: Status, answer: Answer | None) -> None:
+            self._end_attempt(held, attempt, status, answer)
+
+        attempt.exchange = Exchange(self._payload(held.call, wait), done, BODY_MOST)
+        self.upstreams.start(action.server, attempt.exchange, wait / SECOND)
+
+    @staticmethod
+    def _payload(call: Call, wait: int) -> bytes:
+        length = b"Content-Length: %d\r\n" % len(call.body) if call.body or call.method == b"POST" else b""
+        return b"%s %s HTTP/1.1\r\n%sX-Deadline: %dm\r\n%s\r\n%s" % (
+            call.method,
+            call.target,
+            b"".join(call.headers),
+            max(wait // MS, 1),
+            length,
+            call.body,
+        )
+
+    def _end_attempt(self, held: Held, attempt: Attempt, status: Status, answer: Answer | None) -> None:
+        """An attempt has ended: a whole 200 reaches the client, the module hears of all."""
+        self.attempts.pop((held.id, attempt.number), None)
+        if status not in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT):
+            held.may_have_run = True
+        report: tuple[float, ...] = ()
+        if answer is not None:
+            if answer.load and self.reports.columns:
+                report = self.reports.read(answer.load)
+            if status is Status.OK and held.owed:
+                lines = b"".join(b"%s: %s\r\n" % header for header in answer.headers)
+                self._finish(held, 200, lines, answer.body)
+        took = self.now() - attempt.sent_ns
+        self.post(api.Outcome(held.id, attempt.number, attempt.server, status, took, not held.owed, report))
+
+    def _cancel(self, action: api.Cancel) -> None:
+        attempt = self.attempts.get((action.id, action.attempt))
+        if attempt is not None and attempt.exchange is not None:
+            attempt.exchange.give_up(Status.CANCELLED)
+
+    def _probe(self, server: int) -> None:
+        started = self.now()
+
+        def done(_: Exchange, status: Status, answer: Answer | None) -> None:
+            report: tuple[float, ...] = ()
+            if answer is not None and self.reports.columns:
+                report = self.reports.read(answer.load or answer.body.strip())
+            self.post(api.ProbeResult(server, status, self.now() - started, report))
+
+        payload = b"GET %s HTTP/1.1\r\nHost: probe\r\n\r\n" % self.probe_path
+        self.upstreams.start(server, Exchange(payload, done, BODY_MOST), PROBE_TIMEOUT)
+
+    # The list of servers
+
+    def on_news(self, news: News | None) -> None:
+        if news is None:
+            self.post(api.Membership(api.ListKind.FAILED, 0, []))
+        else:
+            self._apply(news)
+
+    def _apply(self, news: News, kind: api.ListKind | None = None) -> None:
+        # The module first, so that what the sockets then give up is not sent to the same server again.
+        self.post(news.membership(kind))
+        if news.complete:
+            listed = {entry.endpoint.server for entry in news.entries}
+            for server in [server for server in self.upstreams.targets if server not in listed]:
+                self._drop_server(server)
+        for entry in news.entries:
+            self._apply_entry(entry)
+        if news.complete:
+            self.names.keep(set(self.balancer.servers) | set(self.upstreams.targets))
+
+    def _apply_entry(self, entry: Listed) -> None:
+        endpoint = entry.endpoint
+        target = self.upstreams.targets.get(endpoint.server)
+        if target is not None and (target.takes_new != (endpoint.state is State.READY)):
+            log.info("server %d is %s", endpoint.server, endpoint.state.name.lower())
+        if target is None and endpoint.state is State.GONE:
+            return
+        self.upstreams.update(endpoint.server, entry.address, entry.since_ms, endpoint.state)
+        if endpoint.state is State.GONE:
+            self.upstreams.forget(endpoint.server)
+
+    def _drop_server(self, server: int) -> None:
+        target = self.upstreams.targets[server]
+        self.upstreams.update(server, target.address, target.since_ms, State.GONE)
+        self.upstreams.forget(server)
+
+    def on_peer(self, sender: int, data: bytes) -> None:
+        self.post(api.PeerMessage(sender, data))
+
+    # Clients
+
+    def connected(self, front: Front) -> None:
+        self.fronts[front] = None
+        self.descriptors.held += 1
+        if self.descriptors.full and not self.upstreams.close_oldest():
+            for other in self.fronts:
+                if other.idle and other is not front:
+                    other.close()
+                    break
+            else:
+                if self.descriptors.exhausted:
+                    front.close()
+
+    def disconnected(self, front: Front, call: Call | None) -> None:
+        """A client has gone. Its request is over; what is out for it the module may call off."""
+        if front in self.fronts:
+            del self.fronts[front]
+            self.descriptors.held -= 1
+        held = self.held.get(call.ticket) if call is not None else None
+        if held is not None:
+            self._settle(held)
+            self.post(api.Dropped(held.id))
+        elif self.draining:
+            self._end_if_done()
+
+    def reserve_body(self, size: int) -> bool:
+        if self.bodies + size > BODIES_MOST:
+            return False
+        self.bodies += size
+        return True
+
+    def release_body(self, size: int) -> None:
+        self.bodies -= size
+
+    # Housekeeping and the end
+
+    def _sweep(self) -> None:
+        self.upstreams.sweep()
+        self.loop.call_later(SWEEP_EVERY, self._sweep)
+
+    def drain(self) -> None:
+        """Begin a planned end: answer what is held and what still comes for a moment, then stop."""
+        if self.draining:
+            return
+        self.draining = True
+        log.info("draining: %d requests held", len(self.held))
+        self.loop.call_later(ACCEPT_AFTER_TERM, self._stop_taking)
+        self.loop.call_later(ANSWER_AFTER_TERM, self._answer_all)
+        self.loop.call_later(ANSWER_AFTER_TERM + FLUSH_AFTER_TERM, self._stop)
+
+    def _stop_taking(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        self.server = None
+        for front in list(self.fronts):
+            if front.idle:
+                front.close()
+        self._end_if_done()
+
+    def _answer_all(self) -> None:
+        for held in list(self.held.values()):
+            self._guard(held)
+
+    def _end_if_done(self) -> None:
+        """The end has come when nobody is connected any more: every answer has been flushed."""
+        if self.server is None and not self.fronts:
+            self._stop()
+
+    def _stop(self) -> None:
+        if not self.stopped.done():
+            self.stopped.set_result(None)
+
+    def close(self) -> None:
+        """Let go of all sockets."""
+        self.discovery.close()
+        self.upstreams.close()
+        if self.peers is not None and self.peers.transport is not None:
+            self.peers.transport.close()
+        for front in list(self.fronts):
+            front.close()
--- /dev/null
+++ b/dykefold/net/front.py
@@ -0,0 +1,379 @@
+"""The application's side: reads requests, hands them to the engine, writes one answer to each."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+from collections import deque
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+import httptools
+
+from ..interface import Effect, Settings
+from .upstream import HOP_BY_HOP
+
+if TYPE_CHECKING:
+    from .engine import Engine
+
+log = logging.getLogger("dykefold.front")
+
+BODY_MOST = 64 * 1024
+HEADERS_MOST = 32 * 1024
+MESSAGE_MOST = 8 * BODY_MOST  # with the framing of many small chunks
+WAITING_MOST = 16  # requests that a client may send ahead of their answers before it is read no further
+SLOW_READER = 5.0  # seconds that a client may leave an answer unread
+LINGER = 1.0  # seconds in which a rejected client may still read why
+DEADLINE = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
+DEADLINE_UNITS = {b"m": 1_000_000, b"u": 1_000}
+COST = re.compile(rb"\d{1,12}(?:\.\d{1,9})?")
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+READY_TARGET = b"/-/ready"
+NOT_PASSED_ON = HOP_BY_HOP | {b"expect", b"x-deadline"}
+
+
+class RequestError(Exception):
+    """A request that is answered here and never reaches the module."""
+
+    def __init__(self, code: int, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+        self.keep_alive = True
+
+
+@dataclass(slots=True)
+class Call:
+    """A request as the client sent it."""
+
+    method: bytes
+    target: bytes
+    headers: list[bytes]  # whole lines, as they go on
+    body: bytes
+    cls: int
+    tenant: int
+    key: int
+    deadline_ns: int  # on the clock
+    cost_ns: int
+    is_retry: bool
+    keep_alive: bool
+    ticket: int = 0  # the engine's number for it
+
+
+@dataclass(slots=True)
+class Ready:
+    """A question whether this sidecar takes requests."""
+
+    keep_alive: bool
+
+
+def _parse_deadline(value: bytes) -> int:
+    match = DEADLINE.fullmatch(value.strip())
+    if match is None:
+        raise RequestError(400, "X-Deadline is no number with a unit m or u")
+    return int(float(match[1]) * DEADLINE_UNITS[match[2]])
+
+
+class Grammar:
+    """What the settings say of requests: which classes and tenants there are."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.specs = settings.classes
+        self.classes = {spec.name.encode(): number for number, spec in enumerate(settings.classes)}
+        self.tenants = {tenant.name.encode(): number for number, tenant in enumerate(settings.tenants)}
+
+    def read(
+        self,
+        now: int,
+        method: bytes,
+        target: bytes,
+        headers: dict[bytes, bytes],
+        lines: list[bytes],
+        body: bytes,
+        keep_alive: bool,
+    ) -> Call:
+        path = target
+        if not path.startswith(b"/"):  # the absolute form, as to a proxy
+            try:
+                path = httptools.parse_url(target).path or b"/"
+            except httptools.HttpParserInvalidURLError:
+                raise RequestError(400, "the target is no path") from None
+        name = path[1:].split(b"/", 1)[0].split(b"?", 1)[0]
+        cls = self.classes.get(name)
+        if cls is None:
+            raise RequestError(404, "unknown class")
+        if method not in (b"GET", b"POST"):
+            raise RequestError(405, "method must be GET or POST")
+        spec = self.specs[cls]
+        if not headers.get(b"x-request-id"):
+            raise RequestError(400, "X-Request-Id is missing")
+        # Guards the rule on effects: without the key no server could drop a repeat.
+        if spec.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
+            raise RequestError(400, "Idempotency-Key is missing")
+        wait = spec.deadline_ns
+        if (value := headers.get(b"x-deadline")) is not None:
+            wait = _parse_deadline(value)
+        tenant = 0
+        if self.tenants and (value := headers.get(b"x-tenant")) is not None:
+            if value not in self.tenants:
+                raise RequestError(400, "unknown tenant")
+            tenant = self.tenants[value]
+        cost = 0
+        if (value := headers.get(b"x-cost-hint")) is not None:
+            if COST.fullmatch(value) is None:
+                raise RequestError(400, "X-Cost-Hint is no number")
+            cost = int(float(value) * 1000)
+        key = 0
+        if value := headers.get(b"x-key"):
+            key = int.from_bytes(blake2b(value, digest_size=8).digest(), "little")
+        return Call(
+            method,
+            target,
+            lines,
+            body,
+            cls,
+            tenant,
+            key,
+            now + wait,
+            cost,
+            headers.get(b"x-retry") == b"1",
+            keep_alive,
+        )
+
+
+class Front(asyncio.Protocol):
+    """A client's connection: one request after another, one answer to each in their order."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.waiting: deque[Call | Ready | RequestError] = deque()
+        self.current: Call | None = None
+        self.pumping = False
+        self.deaf = False  # nothing more is read: what follows an error cannot be told apart
+        self.closed = False
+        self.paused = False  # no more is read until some of what waits is answered
+        self.unread = False  # the client leaves answers unread
+        self.slow: asyncio.TimerHandle | None = None
+        self.used = 0.0
+        self.body_size = 0
+        self._begin()
+
+    def _begin(self) -> None:
+        self.target = b""
+        self.headers: dict[bytes, bytes] = {}
+        self.lines: list[bytes] = []
+        self.body: list[bytes] = []
+        self.size = 0
+        self.in_body = False
+
+    @property
+    def idle(self) -> bool:
+        return self.current is None and not self.waiting
+
+    # The transport's calls
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.transport.set_write_buffer_limits(high=0)
+        self.engine.connected(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.deaf or self.closed:
+            return
+        self.size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(400, "upgrades are not known here")
+        except httptools.HttpParserCallbackError:
+            log.exception("a request could not be read")
+            self._reject(400, "unreadable request")
+        except httptools.HttpParserError:
+            self._reject(400, "malformed request")
+        # Guards the memory: the parser itself holds a header line of any length.
+        if self.size > (MESSAGE_MOST if self.in_body else HEADERS_MOST):
+            self._reject(431, "headers are too long")
+        self._pump()
+
+    def eof_received(self) -> None:
+        self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        if self.slow is not None:
+            self.slow.cancel()
+        self.engine.release_body(self.body_size)
+        self.body_size = 0
+        call, self.current = self.current, None
+        self.waiting.clear()
+        self.engine.disconnected(self, call)
+
+    def pause_writing(self) -> None:
+        # Guards the memory against clients that ask and do not read.
+        self.unread = True
+        self.slow = self.slow or self.engine.loop.call_later(SLOW_READER, self.close)
+
+    def resume_writing(self) -> None:
+        self.unread = False
+        if self.slow is not None:
+            self.slow.cancel()
+            self.slow = None
+        self._pump()
+
+    # The parser's calls
+
+    def on_message_begin(self) -> None:
+        self._begin()
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.in_body:  # a trailer
+            return
+        low = name.lower()
+        self.headers[low] = value
+        if low not in NOT_PASSED_ON:
+            self.lines.append(name + b": " + value + b"\r\n")
+
+    def on_headers_complete(self) -> None:
+        self.in_body = True
+        length = self.headers.get(b"content-length", b"")
+        if length.isdigit() and int(length[:12]) > BODY_MOST:
+            self._reject(413, "the body is too large")
+        elif self.headers.get(b"expect", b"").lower() == b"100-continue" and self.idle:
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, data: bytes) -> None:
+        if self.deaf:
+            return
+        if sum(map(len, self.body)) + len(data) > BODY_MOST:
+            self._reject(413, "the body is too large")
+        elif not self.engine.reserve_body(len(data)):
+            self._reject(503, "too many bodies are held")
+        else:
+            self.body_size += len(data)
+            self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        if self.deaf:
+            return
+        if self.parser.should_upgrade():
+            self._reject(400, "upgrades are not known here")
+            return
+        keep_alive = self.parser.should_keep_alive()
+        body = b"".join(self.body)
+        if self.target == READY_TARGET:
+            self.waiting.append(Ready(keep_alive))
+        else:
+            try:
+                self.waiting.append(
+                    self.engine.grammar.read(
+                        self.engine.now(),
+                        self.parser.get_method(),
+                        self.target,
+                        self.headers,
+                        self.lines,
+                        body,
+                        keep_alive,
+                    )
+                )
+            except RequestError as problem:
+                problem.keep_alive = keep_alive
+                self.waiting.append(problem)
+                self._release(body)
+        self._begin()
+
+        if len(self.waiting) >= WAITING_MOST and self.transport is not None and not self.paused:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def _release(self, body: bytes) -> None:
+        self.engine.release_body(len(body))
+        self.body_size -= len(body)
+
+    # Answers
+
+    def _reject(self, code: int, text: str) -> None:
+        """Answer what was sent before it, then this, and close: where a next request begins is not known."""
+        if not self.deaf:
+            self.deaf = True
+            self.waiting.append(RequestError(code, text))
+
+    def _pump(self) -> None:
+        """Take up what waits, one at a time."""
+        if self.pumping:
+            return
+        self.pumping = True
+        try:
+            while self.waiting and self.current is None and not self.unread and not self.closed:
+                item = self.waiting.popleft()
+                if type(item) is Call:
+                    self.current = item
+                    self.engine.take(self, item)
+                elif type(item) is Ready:
+                    ok = not self.engine.draining
+                    text = b"ready\n" if ok else b"draining\n"
+                    self._respond(200 if ok else 503, b"", text, item.keep_alive)
+                else:
+                    self._respond(item.code, b"", f"{item}\n".encode(), item.keep_alive and not self.deaf)
+        finally:
+            self.pumping = False
+        if self.paused and len(self.waiting) < WAITING_MOST and self.transport is not None and not self.deaf:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def answer(self, call: Call, code: int, headers: bytes, body: bytes) -> None:
+        """The final answer to the request that is being served."""
+        if self.current is not call:
+            return
+        self.current = None
+        self._release(call.body)
+        self._respond(code, headers, body, call.keep_alive)
+        self._pump()
+
+    def _respond(self, code: int, headers: bytes, body: bytes, keep_alive: bool) -> None:
+        if self.engine.draining and not self.waiting:
+            keep_alive = False
+        self._write(
+            b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n%s"
+            % (
+                code,
+                REASONS.get(code, b"Unknown"),
+                headers,
+                len(body),
+                b"" if keep_alive else b"Connection: close\r\n",
+                body,
+            )
+        )
+        if keep_alive or self.transport is None or self.transport.is_closing():
+            return
+        self.waiting.clear()
+        if self.deaf:
+            # Guards an early answer such as 413 against being lost: closing with input unread resets.
+            self.transport.write_eof()
+            self.slow = self.slow or self.engine.loop.call_later(LINGER, self.close)
+        else:
+            self.deaf = True
+            self.transport.close()  # once what was written has gone
+
+    def _write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/dykefold/net/upstream.py
@@ -0,0 +1,424 @@
+"""The servers' side: attempts and probes as exchanges over pooled connections.
+
+An exchange is written once and ends once. It is never written again by itself: what may have run, and
+whether to try again, is the module's to judge, so the end of each one says exactly what is known.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+
+import httptools
+
+from ..interface import State, Status
+
+HEADERS_MOST = 32 * 1024
+IDLE_PART = 0.7  # of the time after which a server may close an idle connection
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
+
+
+class Descriptors:
+    """The sockets that this process may hold, on both sides together."""
+
+    RESERVE = 64  # for the listening side, discovery, peers, the loop and clients that come at the cap
+
+    def __init__(self, limit: int) -> None:
+        self.limit = max(limit - self.RESERVE, 8)
+        self.held = 0
+
+    @property
+    def full(self) -> bool:
+        return self.held >= self.limit
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether clients have used up the reserve as well, as far as it is theirs."""
+        return self.held >= self.limit + self.RESERVE // 2
+
+
+@dataclass(slots=True)
+class Answer:
+    """A whole answer."""
+
+    code: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    not_run: bool
+    load: bytes
+
+
+Done = Callable[["Exchange", Status, Answer | None], None]
+
+
+class Exchange:
+    """One request on its way to one server, until its one end."""
+
+    __slots__ = ("answer_most", "connection", "done", "ended", "opening", "payload", "started", "timer")
+
+    def __init__(self, payload: bytes, done: Done, answer_most: int) -> None:
+        self.payload = payload
+        self.done = done
+        self.answer_most = answer_most
+        self.started = monotonic()
+        self.connection: Connection | None = None  # once the first byte has gone out
+        self.opening: asyncio.Task[None] | None = None  # while a connection is being made
+        self.timer: asyncio.TimerHandle | None = None
+        self.ended = False
+
+    def end(self, status: Status, answer: Answer | None = None) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.done(self, status, answer)
+
+    def give_up(self, status: Status) -> None:
+        """Stop waiting. Its connection is closed first, so that no later attempt overlaps with it."""
+        if self.ended:
+            return
+        if self.opening is not None:
+            self.opening.cancel()
+        connection = self.connection
+        if connection is None or connection.unwritten:
+            status = Status.CONNECT_FAILED  # its last byte was never written: it cannot have run
+        if connection is not None:
+            connection.exchange = None
+            connection.close()
+        self.end(status)
+
+
+class Target:
+    """A server as an address with its connections."""
+
+    def __init__(self, address: tuple[str, int], since_ms: int) -> None:
+        self.address = address
+        self.since_ms = since_ms
+        self.generation = 0  # grows with each restart or move: connections of an earlier one are not kept
+        self.takes_new = True
+        self.idle: list[Connection] = []  # the most recently used last
+        self.opening: set[Exchange] = set()
+
+
+class Connection(asyncio.Protocol):
+    """A connection to a server, with at most one exchange on it."""
+
+    def __init__(self, upstreams: Upstreams, target: Target, sock: socket.socket) -> None:
+        self.upstreams = upstreams
+        self.target = target
+        self.generation = target.generation
+        self.sock = sock
+        self.transport: asyncio.Transport | None = None
+        self.exchange: Exchange | None = None
+        self.unwritten = False
+        self.closed = False
+        self.idle_since = 0.0
+        self.parser = httptools.HttpResponseParser(self)
+        self._reset()
+
+    def _reset(self) -> None:
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body: list[bytes] = []
+        self.size = 0
+        self.not_run = False
+        self.framed = False
+        self.load = b""
+        self.whole: Answer | None = None
+        self.stray = False
+
+    # The transport's calls
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        # Any byte that waits for the socket pauses writing, so `unwritten` tells whether the last one
+        # has gone: the line between "never ran" and "may have run".
+        self.transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        self.unwritten = True
+
+    def resume_writing(self) -> None:
+        self.unwritten = False
+
+    def data_received(self, data: bytes) -> None:
+        if self.exchange is None:
+            self.close()  # bytes that nobody asked for: what follows could be taken for another's answer
+            return
+        self.size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if self.whole is None:
+                self._break()
+                return
+            self.stray = True
+        if self.whole is not None:
+            self._finish()
+        elif self.size > HEADERS_MOST + self.exchange.answer_most:
+            self._break()  # guards against an endless answer filling the memory
+
+    def eof_received(self) -> None:
+        # An answer that only the end of the connection delimits cannot be told from one cut short, so
+        # it is not passed on.
+        self._break()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._break()
+
+    # The parser's calls
+
+    def on_message_begin(self) -> None:
+        if self.whole is not None:
+            self.stray = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.whole is not None:
+            return
+        low = name.lower()
+        if low == b"x-not-run":
+            self.not_run = value.strip() == b"1"
+        elif low == b"x-load":
+            self.load = value
+        elif low in (b"content-length", b"transfer-encoding"):
+            self.framed = True
+        elif low not in HOP_BY_HOP:
+            self.headers.append((name, value))
+
+    def on_body(self, data: bytes) -> None:
+        if self.whole is None:
+            self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        if self.whole is not None:
+            return
+        code = self.parser.get_status_code()
+        if code < 200:  # an interim answer, the real one follows
+            self._reset()
+            return
+        self.whole = Answer(code, self.headers, b"".join(self.body), self.not_run, self.load)
+
+    # Ends
+
+    def send(self, exchange: Exchange) -> bool:
+        """Write an exchange; False if the connection was found dead with nothing of it sent."""
+        # Guards against the race with a server that closes an idle connection: its end may have come
+        # while the loop was busy, and a request written after it would count as one that may have run.
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+            return False
+        except BlockingIOError:
+            pass
+        except OSError:
+            return False
+        try:
+            sent = self.sock.send(exchange.payload)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            return False
+        self._reset()
+        self.exchange = exchange
+        exchange.connection = self
+        if sent < len(exchange.payload):
+            self.unwritten = True
+            assert self.transport is not None
+            self.transport.write(memoryview(exchange.payload)[sent:])
+            if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
+                self.unwritten = False
+        return True
+
+    def _finish(self) -> None:
+        exchange, answer = self.exchange, self.whole
+        assert exchange is not None and answer is not None
+        self.exchange = None
+        reusable = self.parser.should_keep_alive() and self.framed and not self.unwritten and not self.stray
+        if reusable:
+            self.upstreams.keep(self)
+        else:
+            self.close()
+        exchange.end(classify(answer), answer)
+
+    def _break(self) -> None:
+        """The connection is of no more use; what was on it has no whole answer."""
+        exchange, self.exchange = self.exchange, None
+        never = self.unwritten
+        self.close()
+        if exchange is not None:
+            exchange.end(Status.CONNECT_FAILED if never else Status.RESET)
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.upstreams.dropped(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def classify(answer: Answer) -> Status:
+    """What an answer proves. Only the header proves that a request never ran, not the code alone."""
+    if answer.code == 200:
+        return Status.OK
+    if answer.code in (503, 504) and answer.not_run:
+        return Status.FULL
+    return Status.ERROR
+
+
+class Upstreams:
+    """All connections to servers."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        descriptors: Descriptors,
+        connect_timeout: float,
+        idle_most: float,
+    ) -> None:
+        self.loop = loop
+        self.descriptors = descriptors
+        self.connect_timeout = connect_timeout
+        self.idle_most = idle_most * IDLE_PART
+        self.targets: dict[int, Target] = {}
+        self.connections: set[Connection] = set()
+
+    # The list
+
+    def update(self, server: int, address: tuple[str, int], since_ms: int, state: State) -> None:
+        """Take news of a server. Idle connections to what it was before are of no use."""
+        target = self.targets.get(server)
+        if target is None:
+            target = self.targets[server] = Target(address, since_ms)
+        elif target.since_ms != since_ms or target.address != address:
+            self.close_idle(server)
+            target.since_ms, target.address = since_ms, address
+            target.generation += 1
+        target.takes_new = state is State.READY
+        if not target.takes_new:
+            self.close_idle(server)
+            # Guards a drain against requests that still wait for a connection: their first byte would
+            # go out after the server was told to be left alone.
+            for exchange in list(target.opening):
+                exchange.give_up(Status.CONNECT_FAILED)
+
+    def forget(self, server: int) -> None:
+        """Drop a server that is gone; what is out there keeps its connection."""
+        target = self.targets.pop(server, None)
+        if target is not None:
+            target.takes_new = False
+
+    # Exchanges
+
+    def start(self, server: int, exchange: Exchange, timeout: float) -> None:
+        """Send an exchange; its end is told later, never from within this call."""
+        target = self.targets.get(server)
+        if target is None or not target.takes_new:
+            self.loop.call_soon(exchange.end, Status.CONNECT_FAILED)
+            return
+        exchange.timer = self.loop.call_later(max(timeout, 0.001), exchange.give_up, Status.TIMEOUT)
+        while target.idle:
+            connection = target.idle.pop()
+            if connection.send(exchange):
+                return
+            connection.close()  # found dead before anything was written: no attempt was made
+        self._open(target, exchange)
+
+    def _open(self, target: Target, exchange: Exchange) -> None:
+        if self.descriptors.full and not self.close_oldest():
+            self.loop.call_soon(exchange.end, Status.CONNECT_FAILED)
+            return
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError:  # out of descriptors in spite of the count: one request less, not the process
+            self.close_oldest()
+            self.loop.call_soon(exchange.end, Status.CONNECT_FAILED)
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(self, target, sock)
+        self.connections.add(connection)
+        self.descriptors.held += 1
+        target.opening.add(exchange)
+        exchange.opening = self.loop.create_task(self._connect(target, exchange, connection))
+
+    async def _connect(self, target: Target, exchange: Exchange, connection: Connection) -> None:
+        sock = connection.sock
+        try:
+            async with asyncio.timeout(self.connect_timeout):
+                await self.loop.sock_connect(sock, target.address)
+        except (OSError, asyncio.CancelledError):
+            target.opening.discard(exchange)
+            connection.close()
+            sock.close()
+            exchange.end(Status.CONNECT_FAILED)
+            return
+        # No cancelling from here on: the loop is taking the descriptor over, and it would be closed twice.
+        exchange.opening = None
+        try:
+            await self.loop.create_connection(lambda: connection, sock=sock)
+        except OSError:
+            connection.close()
+        finally:
+            target.opening.discard(exchange)
+        if exchange.ended:
+            self.keep(connection)
+        elif connection.closed or not connection.send(exchange):
+            connection.close()
+            exchange.end(Status.CONNECT_FAILED)
+
+    # The pool
+
+    def keep(self, connection: Connection) -> None:
+        target = connection.target
+        if connection.closed or not target.takes_new or connection.generation != target.generation:
+            connection.close()
+            return
+        connection.idle_since = monotonic()
+        target.idle.append(connection)
+
+    def dropped(self, connection: Connection) -> None:
+        """A connection closes: from here on it is neither counted nor used."""
+        self.connections.discard(connection)
+        self.descriptors.held -= 1
+        if connection in connection.target.idle:
+            connection.target.idle.remove(connection)
+
+    def close_idle(self, server: int) -> None:
+        target = self.targets.get(server)
+        if target is not None:
+            for connection in list(target.idle):
+                connection.close()
+
+    def close_oldest(self) -> bool:
+        """Make room: close the connection that has stood idle longest."""
+        oldest = [target.idle[0] for target in self.targets.values() if target.idle]
+        if not oldest:
+            return False
+        min(oldest, key=lambda connection: connection.idle_since).close()
+        return True
+
+    def sweep(self) -> None:
+        """Close what has stood idle well before the server does, or a request would meet its end."""
+        before = monotonic() - self.idle_most
+        for target in self.targets.values():
+            while target.idle and target.idle[0].idle_since < before:
+                target.idle[0].close()
+
+    def close(self) -> None:
+        for connection in list(self.connections):
+            connection.close()
