Use connections to servers again

Ruled out: servers closing them (their answers carry no Connection: close) and the pool's own rules. A probe of the parser alone showed the cause: should_keep_alive() is right only within the call for a whole message and no at any time after it.

--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -139,6 +139,7 @@
         self.size = 0
         self.not_run = False
         self.framed = False
+        self.keep_alive = False
         self.load = b""
         self.whole: Answer | None = None
         self.stray = False
@@ -212,6 +213,9 @@
         if code < 200:  # an interim answer, the real one follows
             self._reset()
             return
+        # Asked here, since the parser answers for the next message as soon as this call is over: asked
+        # later it is always no, and every request pays for a connection of its own.
+        self.keep_alive = self.parser.should_keep_alive()
         self.whole = Answer(code, self.headers, b"".join(self.body), self.not_run, self.load)
 
     # Ends
@@ -248,7 +252,7 @@
         exchange, answer = self.exchange, self.whole
         assert exchange is not None and answer is not None
         self.exchange = None
-        reusable = self.parser.should_keep_alive() and self.framed and not self.unwritten and not self.stray
+        reusable = self.keep_alive and self.framed and not self.unwritten and not self.stray
         if reusable:
             self.upstreams.keep(self)
         else:
