--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -58,7 +58,7 @@
         limit = int(data.get("limits", {}).get("sockets", SOCKETS))
         return Config(
             name=str(data["name"]),
-            listen=split_address(data["listen"]),
+            listen=split_address(data["listen"], least_port=0),
             discovery=split_address(data["discovery"]),
             seed=int(data["seed"], 16),
             sockets=min(limit, SOCKETS),
@@ -78,9 +78,8 @@
         raise ConfigError(f"{path}: {' '.join(str(error).split())}") from None
 
 
-async def run(config: Config) -> None:
-    loop = asyncio.get_running_loop()
-    engine = Engine(
+def start_engine(loop: asyncio.AbstractEventLoop, config: Config) -> Engine:
+    return Engine(
         loop,
         config.settings,
         config.transport,
@@ -90,10 +89,15 @@
         config.names,
         config.known,
     )
+
+
+async def run(config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    engine = start_engine(loop, config)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, engine.drain)
     try:
-        if config.peer_listen is not None and config.settings.can_tell:
+        if config.peer_listen is not None:
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.on_peer)
             await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
             engine.peers = peers
@@ -105,7 +109,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
-    log.info("%s listens at %s:%d", config.name, *config.listen)
+    log.info("%s listens at %s:%d", config.name, *engine.server.sockets[0].getsockname())
     await engine.stopped
     engine.close()
 
--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -72,11 +72,14 @@
         self.servers = {name: number for name, number in self.servers.items() if number in numbers}
 
 
-def split_address(text: object) -> tuple[str, int]:
-    """An address as host and port; ValueError if it is none."""
-    host, colon, port = str(text).rpartition(":")
-    socket.inet_aton(host) if host else None
-    if not colon or not host or not 0 < int(port) < 65536:
+def split_address(text: object, least_port: int = 1) -> tuple[str, int]:
+    """A numeric address as host and port; ValueError if it is none."""
+    host, _, port = str(text).rpartition(":")
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        raise ValueError(f"no address: {text!r}") from None
+    if not (port.isascii() and port.isdigit() and least_port <= int(port) < 65536):
         raise ValueError(f"no address: {text!r}")
     return host, int(port)
 
@@ -88,7 +91,7 @@
             raise ListError("no list of endpoints")
         entries = [_read_entry(entry, names) for entry in data["endpoints"]]
         return News(int(data["index"]), bool(data["snapshot"]), entries)
-    except (KeyError, TypeError, ValueError, OverflowError, OSError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError, AttributeError) as error:
         raise ListError(f"{type(error).__name__}: {error}") from None
 
 
--- /dev/null
+++ b/tests/test_net_discovery.py
@@ -0,0 +1,225 @@
+"""Discovery: whatever goes wrong with a call is news of a failure, and the next watch works again."""
+
+import asyncio
+import json
+
+import pytest
+from net_helpers import (
+    HOST,
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    reply,
+    reset,
+    run,
+    until,
+)
+
+from dykefold.interface import State
+from dykefold.net import discovery
+from dykefold.net.discovery import Discovery, ListError, Names, read_news, split_address
+
+
+def names():
+    return Names(["a", "b"], ["std"])
+
+
+def listing(index, *entries, snapshot=True):
+    return reply(200, json.dumps(news(index, *entries, snapshot=snapshot)).encode())
+
+
+async def cut_off(message, reader, writer):
+    writer.write(listing(9, entry("s1", f"{HOST}:7"))[:-20])
+    await writer.drain()
+    writer.close()
+
+
+async def break_it(message, reader, writer):
+    reset(writer)
+
+
+async def hang(message, reader, writer):
+    await reader.read()
+
+
+def say(data):
+    async def act(message, reader, writer):
+        writer.write(data)
+
+    return act
+
+
+@pytest.mark.parametrize(
+    "trouble",
+    [
+        say(reply(503, b"")),
+        say(reply(200, b"{")),
+        say(reply(200, b"[" * 50_000)),
+        say(reply(200, b'{"index":1,"snapshot":true,"endpoints":[{"name":"s1"}]}')),
+        say(reply(200, b'{"index":1,"snapshot":true,"endpoints":7}')),
+        cut_off,
+        break_it,
+        hang,
+    ],
+    ids=["503", "bad-json", "deep-json", "bad-entry", "bad-list", "cut-off", "reset", "hang"],
+)
+def test_a_broken_call_is_told_as_failed_and_the_next_watch_works(trouble, monkeypatch):
+    monkeypatch.setattr(discovery, "WATCH_MS", 200)
+    monkeypatch.setattr(discovery, "ANSWER_WITHIN", 0.3)
+
+    async def play():
+        async def act(message, reader, writer):
+            await (trouble if len(fake.got) == 1 else say(listing(41, entry("s1", f"{HOST}:7"))))(
+                message, reader, writer
+            )
+
+        fake = await Fake(act).start()
+        heard = []
+        watcher = Discovery(
+            asyncio.get_running_loop(), (HOST, fake.port), names(), 40, heard.append, pushed=False
+        )
+        watcher.watch(True)
+        await until(lambda: heard)
+        assert heard == [None] and not watcher.watching and watcher.version == 40
+        watcher.watch(True)
+        await until(lambda: len(heard) > 1)
+        assert heard[1].version == 41 and heard[1].complete
+        watcher.close()
+
+    run(play())
+
+
+def test_a_watch_goes_on_by_itself_from_the_latest_version():
+    async def play():
+        async def act(message, reader, writer):
+            times.append(asyncio.get_running_loop().time())
+            if len(fake.got) < 4:
+                writer.write(listing(40 + len(fake.got), snapshot=False))
+            else:
+                await reader.read()
+
+        times = []
+        fake = await Fake(act).start()
+        heard = []
+        watcher = Discovery(
+            asyncio.get_running_loop(), (HOST, fake.port), names(), 40, heard.append, pushed=False
+        )
+        watcher.watch(True)
+        watcher.watch(True)  # no second one beside it
+        await until(lambda: len(fake.got) == 4)
+        assert [got.first.split("after=")[1].split("&")[0] for got in fake.got] == ["40", "41", "42", "43"]
+        assert not any(news.complete for news in heard)
+        watcher.close()
+
+    run(play())
+
+
+def test_a_fetch_asks_for_the_whole_list():
+    async def play():
+        fake = await Fake(say(listing(7))).start()
+        heard = []
+        asker = Discovery(asyncio.get_running_loop(), (HOST, fake.port), names(), 0, heard.append, False)
+        asker.fetch()
+        await until(lambda: heard)
+        assert heard[0].complete and fake.got[0].first == "GET /api/targets HTTP/1.1"
+        asker.close()
+
+    run(play())
+
+
+def test_pushed_lists_are_watched_again_after_a_failure_unasked(monkeypatch):
+    monkeypatch.setattr(discovery, "PUSHED_AGAIN", 0.01)
+
+    async def play():
+        async def act(message, reader, writer):
+            if len(fake.got) == 1:
+                reset(writer)
+            else:
+                writer.write(listing(41))
+                await reader.read()
+
+        fake = await Fake(act).start()
+        data = config(news(1), fake.address)
+        data["settings"]["discovery"] = "push"
+        return fake, data
+
+    async def whole(path):
+        fake, data = await play()
+        async with Sidecar(path, data) as sidecar:
+            await until(lambda: sidecar.engine.discovery.version == 41)
+        assert len(fake.got) >= 2
+
+    import pathlib
+    import tempfile
+
+    with tempfile.TemporaryDirectory() as folder:
+        run(whole(pathlib.Path(folder) / "c"))
+
+
+def test_a_drain_that_discovery_tells_stops_sends_and_ends_no_request(tmp_path):
+    async def play():
+        async def tell(message, reader, writer):
+            if "after=1&" in message.first:
+                await go.wait()
+                change = entry("s1", old.address, "DRAINING"), entry("s2", new.address)
+                writer.write(listing(2, *change, snapshot=False))
+            else:
+                await reader.read()
+
+        async def slow(message, reader, writer):
+            await finish.wait()
+            writer.write(reply(200, b"old"))
+
+        go, finish = asyncio.Event(), asyncio.Event()
+        old, new = await Fake(slow).start(), await Fake(answer_ok).start()
+        teller = await Fake(tell).start()
+        async with Sidecar(
+            tmp_path / "c", config(news(1, entry("s1", old.address)), teller.address)
+        ) as sidecar:
+            held = asyncio.create_task(ask(sidecar.port, message("order", "ab")))
+            await until(lambda: old.got)
+            go.set()
+            engine = sidecar.engine
+            await until(lambda: engine.discovery.version == 2)
+            for number in range(5):
+                assert (await ask(sidecar.port, message("order", f"id{number}"))).body == b"served "
+            finish.set()
+            assert (await held).body == b"old"
+        assert len(old.got) == 1 and len(new.got) == 5
+
+    run(play())
+
+
+def test_a_server_that_left_the_list_is_forgotten(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            engine = sidecar.engine
+            assert (await ask(sidecar.port, message("lookup", "ab"))).code == 200
+            for index in range(2, 50):
+                engine.on_news(read_news(news(index, entry(f"s{index}", fake.address)), engine.names))
+            assert len(engine.upstreams.targets) == 1 and len(engine.names.servers) <= 2
+            assert (await ask(sidecar.port, message("lookup", "cd"))).code == 200
+
+    run(play())
+
+
+def test_entries_of_tomorrow_are_read_with_care():
+    got = read_news(news(1, entry("s1", f"{HOST}:7", "STARTING", zone="c")), names())
+    assert got.entries[0].endpoint.state is State.DRAINING
+    assert got.entries[0].endpoint.zone == 2
+
+
+@pytest.mark.parametrize(
+    "text", ["", "host:1", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:70000", None]
+)
+def test_what_is_no_address_is_refused(text):
+    with pytest.raises(ValueError):
+        split_address(text)
+    with pytest.raises(ListError):
+        read_news(news(1, entry("s1", text)), names())
--- /dev/null
+++ b/tests/test_net_requests.py
@@ -0,0 +1,294 @@
+"""Requests through a sidecar on real sockets: the outcome table, one answer each, no second copy."""
+
+import asyncio
+
+import pytest
+from net_helpers import (
+    HOST,
+    MS,
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    read_message,
+    reply,
+    reset,
+    run,
+    silent,
+    until,
+)
+
+from dykefold import interface as api
+
+NOT_RUN = "X-Not-Run: 1"
+
+
+def say(*data):
+    async def act(message, reader, writer):
+        writer.write(b"".join(data))
+
+    return act
+
+
+async def break_at_once(message, reader, writer):
+    reset(writer)
+
+
+async def break_inside(message, reader, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+    await writer.drain()
+    writer.close()
+
+
+async def end_without_length(message, reader, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nwho knows whether this is all")
+    await writer.drain()
+    writer.close()
+
+
+def first_then_ok(act):
+    """The first message meets a trouble, all later ones are served."""
+    seen = []
+
+    async def acting(message, reader, writer):
+        seen.append(message)
+        await (act if len(seen) == 1 else answer_ok)(message, reader, writer)
+
+    return acting
+
+
+def two_servers(fake, *more):
+    return news(1, entry("s1", fake.address), *(entry(f"s{n}", a) for n, a in enumerate(more, 2)))
+
+
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back(tmp_path):
+    async def play():
+        fake = await Fake(say(reply(200, b"held", "X-Load: rps=7,cpu=0.5", "Content-Type: text/x"))).start()
+        async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
+            heard = []
+            handle = sidecar.engine.balancer.handle
+            sidecar.engine.balancer.handle = lambda now, event: heard.append(event) or handle(now, event)
+            got = await ask(sidecar.port, message("hold", "ab12", "900m", b"\x00body"))
+        assert (got.code, got.body) == (200, b"held")
+        assert got.headers["content-type"] == "text/x" and "x-load" not in got.headers
+        (sent,) = fake.got
+        assert sent.first == "POST /hold/part?x=1 HTTP/1.1" and sent.body == b"\x00body"
+        assert sent.headers["x-request-id"] == "ab12"
+        assert sent.headers["idempotency-key"] == "key-of-ab12"
+        # The attempt's own time: no more than the client's, less what has passed.
+        assert 0 < int(sent.headers["x-deadline"].removesuffix("m")) < 900
+        (outcome,) = [event for event in heard if isinstance(event, api.Outcome)]
+        assert outcome.report == (7.0, 0.5) and outcome.final and outcome.status is api.Status.OK
+
+    run(play())
+
+
+def test_connections_are_used_again(tmp_path):
+    """Guards against asking the parser too late whether a connection stays open: it then always says no."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
+            for number in range(5):
+                assert (await ask(sidecar.port, message("order", f"id{number}"))).code == 200
+        assert len(fake.got) == 5 and fake.connections == 1
+
+    run(play())
+
+
+@pytest.mark.parametrize("cls", ["lookup", "hold", "order"])
+@pytest.mark.parametrize(
+    ("act", "codes", "copies"),
+    [
+        # Proven not to have run: any class may be sent again.
+        (say(reply(503, b"", NOT_RUN)), {200}, {2}),
+        (say(reply(504, b"", NOT_RUN)), {200}, {2}),
+        # A plain error is an answer that may have had its effect: refused only if a repeat does no harm.
+        (say(reply(500)), {"lookup": {503}, "hold": {502}, "order": {502}}, {1}),
+        (say(reply(503)), {"lookup": {503}, "hold": {502}, "order": {502}}, {1}),
+        (say(reply(504)), {"lookup": {503}, "hold": {502}, "order": {502}}, {1}),
+        (say(reply(500, b"", NOT_RUN)), {"lookup": {503}, "hold": {502}, "order": {502}}, {1}),
+        (say(reply(204, b"")), {"lookup": {503}, "hold": {502}, "order": {502}}, {1}),
+        # Broken after the last byte was written: it may have run.
+        (
+            break_at_once,
+            {"lookup": {200}, "hold": {200}, "order": {502}},
+            {"lookup": {2}, "hold": {2}, "order": {1}},
+        ),
+        (
+            break_inside,
+            {"lookup": {200}, "hold": {200}, "order": {502}},
+            {"lookup": {2}, "hold": {2}, "order": {1}},
+        ),
+        (
+            end_without_length,
+            {"lookup": {200}, "hold": {200}, "order": {502}},
+            {"lookup": {2}, "hold": {2}, "order": {1}},
+        ),
+        (
+            say(b"no http at all\r\n\r\n"),
+            {"lookup": {200}, "hold": {200}, "order": {502}},
+            {"lookup": {2}, "hold": {2}, "order": {1}},
+        ),
+    ],
+    ids=[
+        "503-not-run",
+        "504-not-run",
+        "500",
+        "503",
+        "504",
+        "500-not-run",
+        "204",
+        "reset",
+        "cut",
+        "no-length",
+        "garbage",
+    ],
+)
+def test_the_table_of_outcomes(tmp_path, cls, act, codes, copies):
+    async def play():
+        fake = await Fake(first_then_ok(act)).start()
+        async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
+            got = await ask(sidecar.port, message(cls, "ab"))
+        assert got.code in (codes[cls] if isinstance(codes, dict) else codes)
+        assert len(fake.got) in (copies[cls] if isinstance(copies, dict) else copies)
+        if got.code == 200:
+            assert got.body == b"served "
+
+    run(play())
+
+
+@pytest.mark.parametrize("cls", ["lookup", "hold", "order"])
+def test_a_refused_connection_is_no_attempt_that_ran(tmp_path, cls):
+    async def play():
+        down = await Fake(answer_ok).start()
+        down.server.close()
+        await down.server.wait_closed()
+        async with Sidecar(tmp_path / "c", config(two_servers(down))) as sidecar:
+            got = await ask(sidecar.port, message(cls, "ab", "900m"))
+        assert got.code == 503  # trying again is harmless
+
+    run(play())
+
+
+@pytest.mark.parametrize(("cls", "code"), [("lookup", 503), ("hold", 502), ("order", 502)])
+def test_silence_ends_in_one_answer_within_the_deadline_and_one_copy(tmp_path, cls, code):
+    async def play():
+        fake = await Fake(silent).start()
+        data = config(two_servers(fake))
+        data["settings"]["ceilings"]["send-cap"] = 1
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            loop = asyncio.get_running_loop()
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            start = loop.time()
+            writer.write(message(cls, "ab", "600m"))
+            got = await read_message(reader)
+            assert got.code == code
+            assert 0.3 < loop.time() - start < 0.65
+            await until(lambda: fake.ended == 1, "the given-up connection is closed")
+            writer.write(message("lookup", "cd", "1m"))  # nothing more had come for the first
+            assert (await read_message(reader)).code == 503
+            writer.close()
+        assert len(fake.got) == 1
+
+    run(play())
+
+
+def test_the_last_guard_answers_when_the_module_errs(tmp_path):
+    """Guards all other requests, and the process, against an exception in one."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
+            handle = sidecar.engine.balancer.handle
+
+            def failing(now, event):
+                if isinstance(event, api.Request) and event.cls == 2:
+                    sidecar.engine.balancer.actions = []
+                    raise ZeroDivisionError("of the module")
+                return handle(now, event)
+
+            sidecar.engine.balancer.handle = failing
+            lost = asyncio.create_task(ask(sidecar.port, message("order", "ab", "500m")))
+            for number in range(3):
+                assert (await ask(sidecar.port, message("lookup", f"id{number}"))).code == 200
+            assert (await lost).code == 503
+            assert not sidecar.engine.held
+
+    run(play())
+
+
+def test_the_last_guard_fails_what_may_have_run(tmp_path):
+    async def play():
+        fake = await Fake(silent).start()
+        async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
+            handle = sidecar.engine.balancer.handle
+
+            def deaf(now, event):
+                if isinstance(event, api.Outcome | api.Timer):
+                    sidecar.engine.balancer.actions = []
+                    raise ZeroDivisionError("of the module")
+                return handle(now, event)
+
+            sidecar.engine.balancer.handle = deaf
+            assert (await ask(sidecar.port, message("order", "ab", "500m"))).code == 504
+
+    run(play())
+
+
+def test_a_client_that_left_frees_its_attempt(tmp_path):
+    async def play():
+        fake = await Fake(silent).start()
+        async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
+            _, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(message("order", "ab"))
+            await until(lambda: fake.got)
+            writer.close()
+            await until(lambda: fake.ended == 1, "its attempt is called off")
+            engine = sidecar.engine
+            await until(lambda: not engine.held and not engine.attempts and not engine.balancer.open)
+            assert not engine.fronts
+            (server,) = engine.balancer.servers.values()
+            assert not server.out  # the attempt's end was told as well
+
+    run(play())
+
+
+def test_a_refusal_comes_at_once_and_tells_when_to_come_back(tmp_path):
+    async def play():
+        fake = await Fake(say(reply(500))).start()
+        async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
+            got = await ask(sidecar.port, message("lookup", "ab"))
+        assert got.code == 503 and 0.0 < float(got.headers["retry-after"]) <= 2.0
+
+    run(play())
+
+
+def test_a_report_is_read_by_names_and_only_whole(tmp_path):
+    async def play():
+        async with Sidecar(tmp_path / "c", config(news(1))) as sidecar:
+            read = sidecar.engine.reports.read
+            assert read(b"cpu=0.25, rps=3") == (3.0, 0.25)
+            assert read(b"qps=3,util=0.25,more=1") == (3.0, 0.25)
+            for broken in (b"", b"rps=3", b"rps=3,cpu=nan", b"rps=3,cpu=x", b"=,=", b"\xff=1"):
+                assert read(broken) == ()
+
+    run(play())
+
+
+def test_since_is_on_the_scale_of_the_clock_and_zero_stays_zero(tmp_path):
+    async def play():
+        import time
+
+        since = int(time.time() * 1000) - 2000
+        known = news(1, entry("s1", f"{HOST}:9"), entry("s2", f"{HOST}:10", since_ms=since))
+        async with Sidecar(tmp_path / "c", config(known)) as sidecar:
+            started = sorted(server.started for server in sidecar.engine.balancer.servers.values())
+            assert started[0] == 0
+            assert 1000 * MS < sidecar.engine.now() - started[1] < 60_000 * MS
+
+    run(play())
--- /dev/null
+++ b/tests/test_net_upstream.py
@@ -0,0 +1,283 @@
+"""Connections to servers: idle ones that die, connects that hang, drains, the cap on descriptors."""
+
+import asyncio
+import errno
+import socket
+
+import pytest
+from net_helpers import HOST, WAIT, Fake, answer_ok, reply, run, silent, until
+
+from dykefold.interface import State, Status
+from dykefold.net import upstream
+from dykefold.net.upstream import Descriptors, Exchange, Upstreams
+
+PAYLOAD = b"GET /lookup HTTP/1.1\r\nX-Request-Id: ab\r\n\r\n"
+
+
+def make(address, connect_timeout=5.0, limit=1024, idle=60.0):
+    pool = Upstreams(asyncio.get_running_loop(), Descriptors(limit), connect_timeout, idle)
+    pool.update(1, address, 0, State.READY)
+    return pool
+
+
+def start(pool, server=1, timeout=WAIT, payload=PAYLOAD):
+    """An exchange and the future of its end."""
+    end = asyncio.get_running_loop().create_future()
+    exchange = Exchange(payload, lambda _, status, answer: end.set_result((status, answer)), 64 * 1024)
+    pool.start(server, exchange, timeout)
+    return exchange, end
+
+
+def listener(backlog=16):
+    sock = socket.socket()
+    sock.bind((HOST, 0))
+    sock.listen(backlog)
+    return sock
+
+
+def full_listener():
+    """A server at which new connections never come up."""
+    sock = listener(0)
+    fill = []
+    for _ in range(4):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(sock.getsockname())
+        fill.append(filler)
+    return sock, fill
+
+
+def test_an_idle_connection_that_died_unseen_is_replaced_before_anything_is_written():
+    """Guards the race with a server that closes idle connections just as a request comes."""
+
+    async def play():
+        server = listener()
+        server.setblocking(False)
+        loop = asyncio.get_running_loop()
+        pool = make(server.getsockname())
+        _, end = start(pool)
+        first, _ = await loop.sock_accept(server)
+        assert await loop.sock_recv(first, 4096) == PAYLOAD
+        await loop.sock_sendall(first, reply())
+        assert (await end)[0] is Status.OK
+        first.close()  # the end is in the kernel by now; the loop has had no turn to see it
+        _, end = start(pool)
+        second, _ = await loop.sock_accept(server)
+        assert await loop.sock_recv(second, 4096) == PAYLOAD
+        await loop.sock_sendall(second, reply())
+        assert (await end)[0] is Status.OK
+        pool.close()
+        second.close()
+        server.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("stray", [b"", b"HTTP/1.1 408 Too late\r\nContent-Length: 0\r\n\r\n"])
+def test_an_idle_connection_ends_at_once_on_its_end_or_on_stray_bytes(stray):
+    async def play():
+        async def act(message, reader, writer):
+            writer.write(reply())
+            await go.wait()
+            writer.write(stray)
+            if not stray:
+                writer.close()
+            else:
+                await reader.read()
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        pool = make((HOST, fake.port))
+        assert (await start(pool)[1])[0] is Status.OK
+        assert len(pool.connections) == 1
+        go.set()
+        await until(lambda: not pool.connections)
+        assert not pool.targets[1].idle and not pool.descriptors.held
+
+    run(play())
+
+
+def test_an_answer_followed_by_more_is_whole_but_its_connection_is_not_kept():
+    async def play():
+        async def act(message, reader, writer):
+            writer.write(reply() + reply(200, b"of whom?"))
+
+        fake = await Fake(act).start()
+        pool = make((HOST, fake.port))
+        status, answer = await start(pool)[1]
+        assert (status, answer.body) == (Status.OK, b"ok") and not pool.connections
+
+    run(play())
+
+
+def test_the_latest_used_connection_is_used_first_and_old_ones_are_closed():
+    async def play():
+        fake = await Fake(answer_ok).start()
+        pool = make((HOST, fake.port), idle=60.0)
+        ends = [start(pool)[1] for _ in range(3)]
+        for end in ends:
+            assert (await end)[0] is Status.OK
+        latest = pool.targets[1].idle[-1]
+        _, end = start(pool)
+        assert latest.exchange is not None
+        await end
+        pool.targets[1].idle[0].idle_since -= 60.0 * upstream.IDLE_PART
+        pool.sweep()
+        assert len(pool.targets[1].idle) == 2 and latest in pool.targets[1].idle
+        pool.close()
+
+    run(play())
+
+
+def test_a_connect_that_hangs_is_given_up_in_time_and_never_ran():
+    async def play():
+        server, fill = full_listener()
+        pool = make(server.getsockname(), connect_timeout=0.1)
+        assert await start(pool)[1] == (Status.CONNECT_FAILED, None)
+        assert not pool.connections and not pool.targets[1].opening and not pool.descriptors.held
+        for sock in (server, *fill):
+            sock.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize("how", ["drain", "gone", "time-out"])
+def test_a_request_that_waits_for_a_connection_is_not_sent_to_a_draining_server(how):
+    """Guards drains: the first byte of such a request would go out after the server was told off."""
+
+    async def play():
+        server, fill = full_listener()
+        pool = make(server.getsockname(), connect_timeout=WAIT)
+        exchange, end = start(pool)
+        await asyncio.sleep(0)
+        if how == "time-out":
+            exchange.give_up(Status.TIMEOUT)
+        else:
+            pool.update(1, server.getsockname(), 0, State.DRAINING if how == "drain" else State.GONE)
+        assert await end == (Status.CONNECT_FAILED, None)
+        await until(lambda: not pool.connections and not pool.targets[1].opening)
+        for sock in fill:
+            sock.close()
+        server.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            while True:  # the fillers alone had come up, and they sent nothing
+                got, _ = server.accept()
+                got.setblocking(True)
+                assert got.recv(4096) == b""
+                got.close()
+        server.close()
+
+    run(play())
+
+
+def test_a_restart_or_drain_closes_idle_connections_and_keeps_those_in_use():
+    async def play():
+        async def act(message, reader, writer):
+            await go.wait()
+            writer.write(reply())
+
+        go = asyncio.Event()
+        go.set()
+        fake = await Fake(act).start()
+        address = (HOST, fake.port)
+        pool = make(address)
+        assert (await start(pool)[1])[0] is Status.OK
+        pool.update(1, address, 5, State.READY)  # restarted
+        assert not pool.targets[1].idle
+        go.clear()
+        _, end = start(pool)
+        await until(lambda: len(fake.got) == 2)
+        pool.update(1, address, 5, State.DRAINING)
+        go.set()
+        assert (await end)[0] is Status.OK  # what it had it finishes
+        assert not pool.connections
+        assert (await start(pool)[1])[0] is Status.CONNECT_FAILED
+        assert len(fake.got) == 2
+
+    run(play())
+
+
+def test_a_break_before_the_last_byte_is_written_never_ran():
+    async def play():
+        server = listener()
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        server.setblocking(False)
+        loop = asyncio.get_running_loop()
+        pool = make(server.getsockname())
+        body = b"x" * (16 * 1024 * 1024)  # more than the kernel takes in
+        head = b"POST /order HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+        exchange, end = start(pool, payload=head + body)
+        got, _ = await loop.sock_accept(server)
+        await until(lambda: exchange.connection is not None)
+        assert exchange.connection.unwritten
+        await loop.sock_recv(got, 4096)
+        got.close()  # with bytes unread: a reset
+        assert await end == (Status.CONNECT_FAILED, None)
+        server.close()
+
+    run(play())
+
+
+def test_giving_up_closes_the_connection_and_says_whether_it_may_have_run():
+    async def play():
+        fake = await Fake(silent).start()
+        pool = make((HOST, fake.port))
+        _, end = start(pool, timeout=0.1)
+        assert await end == (Status.TIMEOUT, None)
+        await until(lambda: fake.ended == 1)
+        assert not pool.connections
+
+    run(play())
+
+
+def test_an_endless_answer_is_cut_off():
+    async def play():
+        async def act(message, reader, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n")
+            while not writer.is_closing():
+                writer.write(b"x" * 65536)
+                await writer.drain()
+
+        fake = await Fake(act).start()
+        pool = make((HOST, fake.port))
+        assert await start(pool)[1] == (Status.RESET, None)
+
+    run(play())
+
+
+def test_out_of_descriptors_costs_one_request_and_not_the_process(monkeypatch):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        pool = make((HOST, fake.port))
+        real = socket.socket
+
+        def exhausted(*_):
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        monkeypatch.setattr(upstream.socket, "socket", exhausted)
+        assert await start(pool)[1] == (Status.CONNECT_FAILED, None)
+        monkeypatch.setattr(upstream.socket, "socket", real)
+        assert (await start(pool)[1])[0] is Status.OK
+        pool.close()
+
+    run(play())
+
+
+def test_at_the_cap_the_longest_idle_connection_makes_room():
+    async def play():
+        fake, other = await Fake(answer_ok).start(), await Fake(silent).start()
+        pool = make((HOST, fake.port), limit=Descriptors.RESERVE + 8)
+        pool.update(2, (HOST, other.port), 0, State.READY)
+        ends = [start(pool)[1] for _ in range(8)]
+        for end in ends:
+            assert (await end)[0] is Status.OK
+        waits = [start(pool, 2)[1] for _ in range(8)]
+        await until(lambda: len(other.got) == 8)
+        assert not pool.targets[1].idle and pool.descriptors.held == 8
+        assert await start(pool, 2)[1] == (Status.CONNECT_FAILED, None)
+        assert not any(end.done() for end in waits)
+        pool.close()
+        for end in waits:
+            end.cancel()
+
+    run(play())
