Guard answers on their way out, attempts that fail while made, and endless deadlines

Found by reading the code against the protocol, not by a run: (1) at a planned end, and at the cap on descriptors, a client whose answer was still being read counted as idle and was cut off: a lost request (shown by the new test: 54,662 of 60,000 bytes); (2) an exception while an attempt was being made left it in the books until the process ended; (3) a client could state a deadline beyond its class's and be held for as long. The log now names servers beside the module's numbers.

--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -33,6 +33,7 @@
 class Listed:
     """One entry, with what only the sockets need."""
 
+    name: str
     endpoint: Endpoint
     address: tuple[str, int]
     since_ms: int
@@ -100,8 +101,9 @@
     if since_ms < 0:
         raise ListError(f"since_ms is {since_ms}")
     zone, kind = str(entry.get("zone", "")), str(entry.get("type", ""))
+    name = str(entry["name"])
     endpoint = Endpoint(
-        server=names.server(str(entry["name"])),
+        server=names.server(name),
         zone=names.zones.setdefault(zone, len(names.zones)),
         kind=names.kinds.setdefault(kind, len(names.kinds)),
         cell=int(entry.get("group") or 0),
@@ -110,7 +112,7 @@
         weight=float(entry.get("weight", 1.0)),
         started_ns=since_ms * 1_000_000,
     )
-    return Listed(endpoint, split_address(entry["address"]), since_ms)
+    return Listed(name, endpoint, split_address(entry["address"]), since_ms)
 
 
 class Discovery:
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -125,6 +125,7 @@
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.draining = False
+        self.taking = True
         self.stopped = loop.create_future()
         self.server: asyncio.Server | None = None
         self.reported_at = -math.inf  # when an exception of the module was last logged
@@ -227,8 +228,12 @@
             return
         for number in range(held.attempts):
             attempt = self.attempts.get((held.id, number))
-            if attempt is not None and attempt.exchange is not None:
+            if attempt is None:
+                continue
+            if attempt.exchange is not None:
                 attempt.exchange.give_up(Status.TIMEOUT)
+            else:  # it failed while it was being made, with nothing written
+                self._end_attempt(held, attempt, Status.MOOT, None)
         if held.owed:
             if held.may_have_run:
                 self._finish(held, 504, b"", b"failed: out of time\n")
@@ -348,15 +353,20 @@
         endpoint = entry.endpoint
         target = self.upstreams.targets.get(endpoint.server)
         if target is not None and (target.takes_new != (endpoint.state is State.READY)):
-            log.info("server %d is %s", endpoint.server, endpoint.state.name.lower())
-        if target is None and endpoint.state is State.GONE:
-            return
+            log.info("%s (%d) is %s", entry.name, endpoint.server, endpoint.state.name.lower())
+        if target is None:
+            if endpoint.state is State.GONE:
+                return
+            log.info("%s is server %d at %s:%d", entry.name, endpoint.server, *entry.address)
+        elif target.since_ms != entry.since_ms:
+            log.info("%s (%d) has restarted", entry.name, endpoint.server)
         self.upstreams.update(endpoint.server, entry.address, entry.since_ms, endpoint.state)
         if endpoint.state is State.GONE:
             self.upstreams.forget(endpoint.server)
 
     def _drop_server(self, server: int) -> None:
         target = self.upstreams.targets[server]
+        log.info("server %d has left the list", server)
         self.upstreams.update(server, target.address, target.since_ms, State.GONE)
         self.upstreams.forget(server)
 
@@ -415,6 +425,7 @@
         self.loop.call_later(ANSWER_AFTER_TERM + FLUSH_AFTER_TERM, self._stop)
 
     def _stop_taking(self) -> None:
+        self.taking = False
         if self.server is not None:
             self.server.close()
         self.server = None
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -123,7 +123,8 @@
             raise RequestError(400, "Idempotency-Key is missing")
         wait = spec.deadline_ns
         if (value := headers.get(b"x-deadline")) is not None:
-            wait = _parse_deadline(value)
+            # The class's deadline covers all tries; a client that states more does not wait for it.
+            wait = min(wait, _parse_deadline(value))
         tenant = 0
         if self.tenants and (value := headers.get(b"x-tenant")) is not None:
             if value not in self.tenants:
@@ -182,7 +183,8 @@
 
     @property
     def idle(self) -> bool:
-        return self.current is None and not self.waiting
+        """Whether it can be closed without harm: no request waits, no answer is still on its way out."""
+        return self.current is None and not self.waiting and not self.unread and not self.deaf
 
     # The transport's calls
 
@@ -233,6 +235,8 @@
             self.slow.cancel()
             self.slow = None
         self._pump()
+        if self.idle and not self.engine.taking:
+            self.close()
 
     # The parser's calls
 
--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import re
+import socket
 
 import pytest
 from net_helpers import (
@@ -149,6 +151,16 @@
     run(play())
 
 
+def test_a_client_waits_no_longer_than_its_class(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            assert (await ask(sidecar.port, message("lookup", "ab", "999999999999m"))).code == 200
+        assert int(fake.got[0].headers["x-deadline"].removesuffix("m")) <= 4000
+
+    run(play())
+
+
 def test_bodies_are_bounded_all_together(tmp_path, monkeypatch):
     monkeypatch.setattr(engine_module, "BODIES_MOST", 1000)
 
@@ -190,6 +202,45 @@
     run(play())
 
 
+def test_a_planned_end_cuts_no_answer_that_is_being_read(tmp_path, monkeypatch):
+    """Guards answers on their way out when idle clients are closed."""
+    monkeypatch.setattr(front, "SLOW_READER", 60.0)
+
+    async def play():
+        async def big(message, reader, writer):
+            writer.write(reply(200, b"x" * 60_000))
+
+        fake = await Fake(big).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            loop = asyncio.get_running_loop()
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, (HOST, sidecar.port))
+            await until(lambda: sidecar.engine.fronts)
+            (client,) = sidecar.engine.fronts
+            sent = 0
+            while not client.unread:  # until the kernel holds no more for it
+                await loop.sock_sendall(sock, message("lookup", f"id{sent}"))
+                sent += 1
+                await until(lambda: len(fake.got) == sent and client.current is None)  # noqa: B023
+            sidecar.engine.draining = True
+            sidecar.engine._stop_taking()
+            got = bytearray()
+            while data := await loop.sock_recv(sock, 65536):
+                got += data
+            while got:
+                head, _, got = got.partition(b"\r\n\r\n")
+                size = int(re.search(rb"Content-Length: (\d+)", head)[1])
+                assert len(got) >= size  # each answer is whole
+                del got[:size]
+                sent -= 1
+            assert sent == 0
+            sock.close()
+
+    run(play())
+
+
 def test_datagrams_are_heard_from_known_peers_only():
     async def play():
         loop = asyncio.get_running_loop()
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -240,6 +240,24 @@
     run(play())
 
 
+def test_an_attempt_that_cannot_be_made_is_refused_and_leaves_nothing(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
+
+            def broken(*_):
+                raise ZeroDivisionError("of the program")
+
+            engine = sidecar.engine
+            engine._payload = broken
+            assert (await ask(sidecar.port, message("order", "ab", "300m"))).code == 503
+            assert not engine.held and not engine.attempts
+            del engine._payload
+            assert (await ask(sidecar.port, message("order", "cd"))).code == 200
+
+    run(play())
+
+
 def test_a_client_that_left_frees_its_attempt(tmp_path):
     async def play():
         fake = await Fake(silent).start()
