Log an outage of discovery once; test probes; name what the package needs

The first failure and the recovery are logged. Beside it a field of exchanges that nothing read is gone.

--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -138,6 +138,7 @@
         self.calls.update(DISCOVERY, address, 0, State.READY)
         self.watching = False
         self.called = 0.0
+        self.failing = False
 
     def watch(self, on: bool) -> None:
         if on and not self.watching:
@@ -173,9 +174,9 @@
     def _watched(self, news: News | None, reason: str) -> None:
         if not self.watching:
             return
+        self._note(news, reason)
         if news is None:
             self.watching = False
-            log.warning("watch failed: %s", reason)
             if self.pushed:  # nobody asks the agent but this; the module only waits for what it tells
                 self.loop.call_later(PUSHED_AGAIN, self.watch, True)
         try:
@@ -191,10 +192,18 @@
                     self._next_watch()
 
     def _fetched(self, news: News | None, reason: str) -> None:
-        if news is None:
-            log.warning("fetch failed: %s", reason)
+        self._note(news, reason)
         self._take(news)
 
+    def _note(self, news: News | None, reason: str) -> None:
+        """Log the first failure and the recovery: an outage lasts, and what it says does not change."""
+        if self.failing != (news is None):
+            self.failing = news is None
+            if self.failing:
+                log.warning("discovery failed: %s", reason)
+            else:
+                log.info("discovery answers again")
+
     def _take(self, news: News | None) -> None:
         if news is not None:
             self.version = news.version
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -70,13 +70,12 @@
 class Exchange:
     """One request on its way to one server, until its one end."""
 
-    __slots__ = ("answer_most", "connection", "done", "ended", "opening", "payload", "started", "timer")
+    __slots__ = ("answer_most", "connection", "done", "ended", "opening", "payload", "timer")
 
     def __init__(self, payload: bytes, done: Done, answer_most: int) -> None:
         self.payload = payload
         self.done = done
         self.answer_most = answer_most
-        self.started = monotonic()
         self.connection: Connection | None = None  # once the first byte has gone out
         self.opening: asyncio.Task[None] | None = None  # while a connection is being made
         self.timer: asyncio.TimerHandle | None = None
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -94,6 +94,24 @@
     run(play())
 
 
+def test_an_outage_is_logged_once_and_so_is_its_end(caplog):
+    async def play():
+        async def act(message, reader, writer):
+            writer.write(reply(503, b"") if len(fake.got) < 4 else listing(41))
+
+        fake = await Fake(act).start()
+        heard = []
+        asker = Discovery(asyncio.get_running_loop(), (HOST, fake.port), names(), 0, heard.append, False)
+        for count in range(1, 6):
+            asker.fetch()
+            await until(lambda: len(heard) == count)  # noqa: B023
+        asker.close()
+
+    caplog.set_level("INFO", "dykefold.discovery")
+    run(play())
+    assert caplog.messages == ["discovery failed: answer 503", "discovery answers again"]
+
+
 def test_a_watch_goes_on_by_itself_from_the_latest_version():
     async def play():
         async def act(message, reader, writer):
@@ -132,7 +150,7 @@
     run(play())
 
 
-def test_pushed_lists_are_watched_again_after_a_failure_unasked(monkeypatch):
+def test_pushed_lists_are_watched_again_after_a_failure_unasked(tmp_path, monkeypatch):
     monkeypatch.setattr(discovery, "PUSHED_AGAIN", 0.01)
 
     async def play():
@@ -146,19 +164,11 @@
         fake = await Fake(act).start()
         data = config(news(1), fake.address)
         data["settings"]["discovery"] = "push"
-        return fake, data
-
-    async def whole(path):
-        fake, data = await play()
-        async with Sidecar(path, data) as sidecar:
+        async with Sidecar(tmp_path / "c", data) as sidecar:
             await until(lambda: sidecar.engine.discovery.version == 41)
         assert len(fake.got) >= 2
 
-    import pathlib
-    import tempfile
-
-    with tempfile.TemporaryDirectory() as folder:
-        run(whole(pathlib.Path(folder) / "c"))
+    run(play())
 
 
 def test_a_drain_that_discovery_tells_stops_sends_and_ends_no_request(tmp_path):
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -1,6 +1,7 @@
 """Requests through a sidecar on real sockets: the outcome table, one answer each, no second copy."""
 
 import asyncio
+import time
 
 import pytest
 from net_helpers import (
@@ -298,10 +299,35 @@
     run(play())
 
 
-def test_since_is_on_the_scale_of_the_clock_and_zero_stays_zero(tmp_path):
+def test_a_probe_asks_for_the_load_and_tells_what_came(tmp_path):
     async def play():
-        import time
+        act = first_then_ok(say(reply(200, b"rps=7,cpu=0.5")))
+
+        async def acting(message, reader, writer):
+            assert message.first == "GET /-/load HTTP/1.1" and "x-request-id" not in message.headers
+            await act(message, reader, writer)
+
+        fake = await Fake(acting).start()
+        async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
+            heard = []
+            engine = sidecar.engine
+            (server,) = engine.upstreams.targets
+            engine.balancer.handle = lambda now, event: heard.append(event) or []
+            engine._act(api.Probe(server))
+            await until(lambda: heard)
+            assert heard[0].status is api.Status.OK and heard[0].report == (7.0, 0.5)
+            engine._act(api.CloseIdle(server))
+            assert not engine.upstreams.connections
+            fake.server.close()
+            engine._act(api.Probe(server))
+            await until(lambda: len(heard) > 1)
+            assert heard[1].status is api.Status.CONNECT_FAILED and heard[1].report == ()
 
+    run(play())
+
+
+def test_since_is_on_the_scale_of_the_clock_and_zero_stays_zero(tmp_path):
+    async def play():
         since = int(time.time() * 1000) - 2000
         known = news(1, entry("s1", f"{HOST}:9"), entry("s2", f"{HOST}:10", since_ms=since))
         async with Sidecar(tmp_path / "c", config(known)) as sidecar:
