Turn to a new discovery on SIGHUP; keep the list's order; bound its names

At fault: __main__.run installed no handler for SIGHUP; Discovery knew one address for life, and took whatever answer came last. Names lost entries only with whole lists, and kept those of unreadable ones. Now the file is reread on SIGHUP (a bad one is one log line), the old calls are closed and their answers dropped, a whole list comes first, and an answer older than what a later call brought is passed over. Tests: the process under 50 signals, a bad file and SIGTERM; late, older and restarted indexes; names.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -91,11 +91,22 @@
     )
 
 
-async def run(config: Config) -> None:
+def reload(engine: Engine, path: str | None) -> None:
+    """Reread the configuration: discovery may have moved. What can't be read changes nothing."""
+    try:
+        config = read_config(path)
+    except ConfigError as error:
+        log.warning("the configuration stays as it was: %s", error)
+        return
+    engine.discovery.turn(config.discovery)
+
+
+async def run(config: Config, path: str | None) -> None:
     loop = asyncio.get_running_loop()
     engine = start_engine(loop, config)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, engine.drain)
+    loop.add_signal_handler(signal.SIGHUP, reload, engine, path)
     try:
         if config.peer_listen is not None:
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.on_peer)
@@ -116,10 +127,14 @@
 
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    # Guards the start and the end, when no loop listens: the signal's default would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    path = os.environ.get("GW_CONFIG")
     try:
-        config = read_config(os.environ.get("GW_CONFIG"))
+        config = read_config(path)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(run(config))
+            runner.run(run(config, path))
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
     except ConfigError as error:
         print(f"dykefold: {error}", file=sys.stderr)
         return 1
--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from time import monotonic
 
 from ..interface import Endpoint, ListKind, Membership, State, Status
@@ -22,6 +23,7 @@
 LIST_MOST = 4 * 1024 * 1024
 CALLS_APART = 0.1  # seconds between calls that are answered at once with nothing new
 PUSHED_AGAIN = 0.5  # seconds until the agent on the own machine is asked again after a failure
+NAMES_MOST = 256  # zones, and kinds, that are told apart
 DISCOVERY = 0  # the one target of the calls' own connections
 
 
@@ -68,11 +70,22 @@
             self.next_server += 1
         return number
 
+    def zone(self, name: str) -> int:
+        return _number(self.zones, name)
+
+    def kind(self, name: str) -> int:
+        return _number(self.kinds, name)
+
     def keep(self, numbers: set[int]) -> None:
-        """Drop the names of servers that are no more, lest they grow in number for ever."""
+        """Forget servers that are known nowhere any more."""
         self.servers = {name: number for name, number in self.servers.items() if number in numbers}
 
 
+def _number(known: dict[str, int], name: str) -> int:
+    # Guards the memory: lists that go on naming new zones or kinds get one number for all of these.
+    return known.setdefault(name, len(known)) if len(known) < NAMES_MOST else known.get(name, len(known))
+
+
 def split_address(text: object, least_port: int = 1) -> tuple[str, int]:
     """A numeric address as host and port; ValueError if it is none."""
     host, _, port = str(text).rpartition(":")
@@ -86,33 +99,38 @@
 
 
 def read_news(data: object, names: Names) -> News:
-    """Read a list or a change of it, whole or not at all."""
+    """Read a list or a change of it, whole or not at all: an unreadable one leaves no names behind."""
     try:
         if not isinstance(data, dict) or not isinstance(data["endpoints"], list):
             raise ListError("no list of endpoints")
-        entries = [_read_entry(entry, names) for entry in data["endpoints"]]
-        return News(int(data["index"]), bool(data["snapshot"]), entries)
+        version, complete = int(data["index"]), bool(data["snapshot"])
+        entries = [_read_entry(entry) for entry in data["endpoints"]]
     except (KeyError, TypeError, ValueError, OverflowError, AttributeError) as error:
         raise ListError(f"{type(error).__name__}: {error}") from None
+    for listed, zone, kind in entries:
+        endpoint = listed.endpoint
+        endpoint.server = names.server(listed.name)
+        endpoint.zone, endpoint.kind = names.zone(zone), names.kind(kind)
+    return News(version, complete, [listed for listed, _, _ in entries])
 
 
-def _read_entry(entry: dict, names: Names) -> Listed:
+def _read_entry(entry: dict) -> tuple[Listed, str, str]:
+    """An entry without its numbers, with the names of its zone and kind."""
     since_ms = int(entry.get("since_ms") or 0)
     if since_ms < 0:
         raise ListError(f"since_ms is {since_ms}")
-    zone, kind = str(entry.get("zone", "")), str(entry.get("type", ""))
-    name = str(entry["name"])
     endpoint = Endpoint(
-        server=names.server(name),
-        zone=names.zones.setdefault(zone, len(names.zones)),
-        kind=names.kinds.setdefault(kind, len(names.kinds)),
+        server=0,
+        zone=0,
+        kind=0,
         cell=int(entry.get("group") or 0),
         # A status of tomorrow is no invitation to send anything new.
         state=STATES.get(entry["status"], State.DRAINING),
         weight=float(entry.get("weight", 1.0)),
         started_ns=since_ms * 1_000_000,
     )
-    return Listed(name, endpoint, split_address(entry["address"]), since_ms)
+    listed = Listed(str(entry["name"]), endpoint, split_address(entry["address"]), since_ms)
+    return listed, str(entry.get("zone", "")), str(entry.get("type", ""))
 
 
 class Discovery:
@@ -129,67 +147,111 @@
     ) -> None:
         self.loop = loop
         self.names = names
-        self.version = version
+        self.version: int | None = version  # None: a whole list is wanted first
         self.heard = heard
         self.pushed = pushed
+        self.watching = False
+        self.round = 0  # of watching: a call of an earlier one goes on with nothing
+        self.taken = 0  # answers
+        self.called = 0.0
+        self.failing = False
+        self.closed = False
+        self._connect(address)
+
+    def _connect(self, address: tuple[str, int]) -> None:
+        self.address = address
         self.host = f"{address[0]}:{address[1]}"
         # Connections of its own: the cap on those to servers must never keep the list from being read.
-        self.calls = Upstreams(loop, Descriptors(1024), CONNECT_WITHIN, 30.0)
+        self.calls = Upstreams(self.loop, Descriptors(1024), CONNECT_WITHIN, 30.0)
         self.calls.update(DISCOVERY, address, 0, State.READY)
+
+    def turn(self, address: tuple[str, int]) -> None:
+        """Go over to another discovery at once, with a whole list first.
+
+        Guards against the new one's index having begun anew, and against answers of the old one, which
+        counts no longer and soon closes its connections.
+        """
+        if self.closed or address == self.address:
+            return
+        log.info("discovery is now at %s:%d", *address)
+        old = self.calls
+        self._connect(address)
+        old.close()
+        self.version = None
         self.watching = False
-        self.called = 0.0
-        self.failing = False
+        self.watch(True)
 
     def watch(self, on: bool) -> None:
-        if on and not self.watching:
-            self.watching = True
-            self._next_watch()
-        elif not on:
-            self.watching = False
+        if on == self.watching:
+            return
+        self.watching = on
+        self.round += 1
+        if on:
+            self._next_watch(self.round)
 
     def fetch(self) -> None:
         self._call("/api/targets", ANSWER_WITHIN, self._fetched)
 
-    def _next_watch(self) -> None:
+    def _next_watch(self, number: int) -> None:
+        if number != self.round:
+            return
         self.called = monotonic()
-        target = f"/api/targets?after={self.version}&wait_ms={WATCH_MS}"
-        self._call(target, WATCH_MS / 1000 + ANSWER_WITHIN, self._watched)
+        target, within = "/api/targets", ANSWER_WITHIN
+        if self.version is not None:
+            target += f"?after={self.version}&wait_ms={WATCH_MS}"
+            within += WATCH_MS / 1000
+        self._call(target, within, partial(self._watched, number))
 
     def _call(self, target: str, within: float, done: Callable[[News | None, str], None]) -> None:
         payload = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
+        calls, taken = self.calls, self.taken
 
         def ended(_: Exchange, status: Status, answer: Answer | None) -> None:
+            if calls is not self.calls or self.closed:
+                return  # an answer of a discovery that has been left
             news, reason = None, status.name
             if status is Status.OK and answer is not None:
                 try:
-                    news = read_news(json.loads(answer.body), self.names)
+                    news = self._in_order(read_news(json.loads(answer.body), self.names), taken)
                 except (ValueError, RecursionError) as error:
                     reason = str(error)
             elif answer is not None:
                 reason = f"answer {answer.code}"
             done(news, reason)
 
-        self.calls.start(DISCOVERY, Exchange(payload, ended, LIST_MOST), within)
-
-    def _watched(self, news: News | None, reason: str) -> None:
-        if not self.watching:
+        calls.start(DISCOVERY, Exchange(payload, ended, LIST_MOST), within)
+
+    def _in_order(self, news: News, taken: int) -> News:
+        """Guards the list against answers that come after a newer one to a later call."""
+        if self.version is None:
+            if not news.complete:
+                raise ListError("changes came in place of the whole list")
+        elif news.version < self.version:
+            if taken != self.taken:
+                return News(self.version, False, [])
+            if not news.complete:
+                self.version = None
+                raise ListError("the index went back")
+        return news
+
+    def _watched(self, number: int, news: News | None, reason: str) -> None:
+        if number != self.round:
             return
         self._note(news, reason)
         if news is None:
-            self.watching = False
+            self.watch(False)
             if self.pushed:  # nobody asks the agent but this; the module only waits for what it tells
                 self.loop.call_later(PUSHED_AGAIN, self.watch, True)
         try:
             self._take(news)
         finally:
-            if self.watching:
+            if news is not None:
                 # Guards against asking an agent in a tight loop; a pause within 200 ms ends no watch.
-                idle = news is not None and not news.entries
-                pause = CALLS_APART - (monotonic() - self.called) if idle else 0.0
+                pause = 0.0 if news.entries else CALLS_APART - (monotonic() - self.called)
                 if pause > 0.0:
-                    self.loop.call_later(pause, self._next_watch)
+                    self.loop.call_later(pause, self._next_watch, number)
                 else:
-                    self._next_watch()
+                    self._next_watch(number)
 
     def _fetched(self, news: News | None, reason: str) -> None:
         self._note(news, reason)
@@ -207,8 +269,10 @@
     def _take(self, news: News | None) -> None:
         if news is not None:
             self.version = news.version
+            self.taken += 1
         self.heard(news)
 
     def close(self) -> None:
-        self.watching = False
+        self.closed = True
+        self.watch(False)
         self.calls.close()
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -346,8 +346,8 @@
                 self._drop_server(server)
         for entry in news.entries:
             self._apply_entry(entry)
-        if news.complete:
-            self.names.keep(set(self.balancer.servers) | set(self.upstreams.targets))
+        # After changes too: on a day of replacements no whole list may ever come.
+        self.names.keep(set(self.balancer.servers) | set(self.upstreams.targets))
 
     def _apply_entry(self, entry: Listed) -> None:
         endpoint = entry.endpoint
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -423,5 +423,8 @@
                 target.idle[0].close()
 
     def close(self) -> None:
+        for target in self.targets.values():
+            for exchange in list(target.opening):
+                exchange.give_up(Status.CONNECT_FAILED)
         for connection in list(self.connections):
             connection.close()
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -233,3 +233,63 @@
         split_address(text)
     with pytest.raises(ListError):
         read_news(news(1, entry("s1", text)), names())
+
+
+def test_an_older_answer_sets_nothing_back():
+    """Guards the list: a watch and a fetch are out together, and the earlier call is answered last."""
+
+    async def play():
+        async def act(message, reader, writer):
+            if "after" in message.first and len(fake.got) == 1:
+                await go.wait()
+                writer.write(listing(41, entry("s1", f"{HOST}:7")))
+            elif "after" in message.first:
+                await reader.read()
+            else:
+                writer.write(listing(43, entry("s2", f"{HOST}:8")))
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        heard = []
+        both = Discovery(asyncio.get_running_loop(), (HOST, fake.port), names(), 40, heard.append, False)
+        both.watch(True)
+        await until(lambda: fake.got)
+        both.fetch()
+        await until(lambda: heard)
+        go.set()
+        await until(lambda: len(heard) == 2)
+        assert heard[1].version == both.version == 43 and not heard[1].entries and not heard[1].complete
+        await until(lambda: len(fake.got) == 3)
+        assert "after=43&" in fake.got[2].first
+        both.close()
+
+    run(play())
+
+
+def test_an_index_that_goes_back_asks_for_the_whole_list():
+    async def play():
+        async def act(message, reader, writer):
+            writer.write(listing(3, entry("s1", f"{HOST}:7"), snapshot="after" not in message.first))
+
+        fake = await Fake(act).start()
+        heard = []
+        watcher = Discovery(asyncio.get_running_loop(), (HOST, fake.port), names(), 40, heard.append, False)
+        watcher.watch(True)
+        await until(lambda: heard)
+        watcher.watch(True)
+        await until(lambda: len(heard) > 1)
+        assert heard[0] is None and heard[1].complete and watcher.version == 3
+        watcher.close()
+
+    run(play())
+
+
+def test_an_unreadable_list_leaves_no_names_and_new_zones_are_bounded():
+    known = names()
+    with pytest.raises(ListError):
+        read_news(news(1, entry("s1", f"{HOST}:7", zone="new"), entry("s2", "nowhere")), known)
+    assert not known.servers and len(known.zones) == 2
+    for number in range(3000):
+        read_news(news(1, {**entry("s1", f"{HOST}:7", zone=f"z{number}"), "type": f"k{number}"}), known)
+    assert len(known.zones) == len(known.kinds) == discovery.NAMES_MOST
+    assert known.zone("a") == 0 and known.kind("std") == 0
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -237,3 +237,45 @@
         "telemetry": {"columns": ["rps", "cpu"], "how": "piggyback"},
     }
     assert nested_settings(nested) == parse_settings(text)
+
+
+def test_a_new_configuration_turns_to_the_new_discovery_and_keeps_serving(tmp_path):
+    """Guards SIGHUP, which ended the process: whole list first, the old one let go, bad files ignored."""
+
+    async def play():
+        async def old_watch(message, reader, writer):
+            await reader.read()  # a watch that waits
+            left.set()
+
+        async def new_watch(message, reader, writer):
+            if len(moved.got) > 1:
+                await reader.read()
+            else:  # its index is far behind the old one's
+                writer.write(reply(200, json.dumps(news(2, entry("s2", after.address))).encode()))
+
+        left = asyncio.Event()
+        before = await Fake(answer_ok).start()
+        after = await Fake(answer_ok).start()
+        old, moved = await Fake(old_watch).start(), await Fake(new_watch).start()
+        data = config(news(900, entry("s1", before.address)), old.address)
+        async with Process(tmp_path / "c", data) as sidecar:
+            await until(lambda: old.got)
+            sidecar.path.write_text("{")
+            sidecar.process.send_signal(signal.SIGHUP)
+            assert (await ask(sidecar.port, message("order", "a1"))).code == 200 and len(before.got) == 1
+            sidecar.path.write_text(json.dumps({**data, "discovery": moved.address}))
+            for _ in range(50):
+                sidecar.process.send_signal(signal.SIGHUP)
+            await left.wait()
+            await until(lambda: len(moved.got) == 2)
+            assert moved.got[0].first == "GET /api/targets HTTP/1.1"
+            assert "after=2&" in moved.got[1].first
+            assert (await ask(sidecar.port, message("order", "a2"))).code == 200 and len(after.got) == 1
+            sidecar.process.send_signal(signal.SIGTERM)
+            sidecar.process.send_signal(signal.SIGHUP)
+            assert await sidecar.process.wait() == 0
+            log = await sidecar.log
+            assert b"Traceback" not in log and len(old.got) == 1
+            assert log.count(b"stays as it was") in (0, 1) and log.count(b"discovery is now at") == 1
+
+    run(play())
