Hold clients to a share of the descriptors, to time and to memory; use ids once

At fault: Engine.connected closed pooled connections to servers for each client over the cap, and when none was left Upstreams._open failed attempts; the module took that for dying servers and shed. Nothing ever closed a silent or idle client. BODIES_MOST ignored the memory limit, and heads were not counted. Now net/clients.py keeps clients to half, lets those go first that never asked, answers 408 or closes after 2 s and closes idle ones after 2 s; net/limits.py takes both budgets from the configuration; ids are used once, doubled headers are 400, a method must be that of the class.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -17,6 +17,7 @@
 from .net.discovery import ListError, Names, News, read_news, split_address
 from .net.engine import Engine
 from .net.front import Front
+from .net.limits import MB
 from .net.peers import Address, Peers
 from .settings import Transport, nested_settings, nested_transport
 
@@ -24,6 +25,7 @@
 
 BACKLOG = 512
 SOCKETS = 1024  # where the configuration names no limit
+MEMORY_MB = 192  # likewise
 
 
 class ConfigError(Exception):
@@ -37,6 +39,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory: int
     peer_listen: Address | None
     peers: list[Address]
     peers_all: Address | None
@@ -55,13 +58,14 @@
         settings = nested_settings(data["settings"])
         transport = nested_transport(data["settings"])
         names = Names(settings.zones, transport.kinds)
-        limit = int(data.get("limits", {}).get("sockets", SOCKETS))
+        limits = data.get("limits", {})
         return Config(
             name=str(data["name"]),
             listen=split_address(data["listen"], least_port=0),
             discovery=split_address(data["discovery"]),
             seed=int(data["seed"], 16),
-            sockets=min(limit, SOCKETS),
+            sockets=min(int(limits.get("sockets", SOCKETS)), SOCKETS),
+            memory=int(limits.get("memory_mb", MEMORY_MB) * MB),
             peer_listen=split_address(data["peer_listen"]) if data.get("peer_listen") else None,
             peers=[split_address(peer) for peer in data.get("peers", [])],
             peers_all=split_address(data["peers_all"]) if data.get("peers_all") else None,
@@ -85,6 +89,7 @@
         config.transport,
         config.seed,
         config.sockets,
+        config.memory,
         config.discovery,
         config.names,
         config.known,
--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -12,7 +12,8 @@
 from time import monotonic
 
 from ..interface import Endpoint, ListKind, Membership, State, Status
-from .upstream import Answer, Descriptors, Exchange, Upstreams
+from .limits import Descriptors
+from .upstream import Answer, Exchange, Upstreams
 
 log = logging.getLogger("dykefold.discovery")
 
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -13,10 +13,12 @@
 from ..interface import Settings, State, Status
 from ..logic import Balancer
 from ..settings import Transport, canonical_column
+from .clients import Clients
 from .discovery import Discovery, Listed, Names, News
 from .front import BODY_MOST, Call, Front, Grammar
+from .limits import Descriptors, Memory
 from .peers import Address, Peers
-from .upstream import Answer, Descriptors, Exchange, Upstreams
+from .upstream import Answer, Exchange, Upstreams
 
 log = logging.getLogger("dykefold")
 
@@ -24,9 +26,10 @@
 SECOND = 1_000_000_000
 ATTEMPT_MARGIN_NS = 15 * MS  # before the client's deadline the last attempt is given up
 GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
-BODIES_MOST = 48 * 1024 * 1024  # of all requests together: the memory limit is for the whole process
 PROBE_TIMEOUT = 0.4  # seconds
-SWEEP_EVERY = 1.0
+SWEEP_EVERY = 0.25
+IDS_KEPT = 4.0  # seconds, and ...
+IDS_MOST = 8192  # ... so many ids of requests that are over can't be used again
 ACCEPT_AFTER_TERM = 0.5  # seconds for which new connections and requests still come
 ANSWER_AFTER_TERM = 3.3  # seconds after which nothing held goes unanswered: the platform kills soon after
 FLUSH_AFTER_TERM = 0.3  # seconds beyond that for clients to read their answers
@@ -97,6 +100,7 @@
         transport: Transport,
         seed: int,
         sockets: int,
+        memory: int,
         discovery: Address,
         names: Names,
         known: News,
@@ -111,6 +115,8 @@
         self.reports = Reports(settings.report_columns)
         self.probe_path = b"/-/load" if settings.report_columns else b"/-/healthy"
         self.descriptors = Descriptors(sockets)
+        self.memory = Memory(memory)
+        self.clients = Clients(self.descriptors)
         connect_timeout = settings.connect_timeout_ns / SECOND or 1.0
         self.upstreams = Upstreams(loop, self.descriptors, connect_timeout, transport.conn_idle_ns / SECOND)
         self.discovery = Discovery(
@@ -119,9 +125,9 @@
         self.peers: Peers | None = None
         self.held: dict[int, Held] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # those out, also of requests that are over
-        self.fronts: dict[Front, None] = {}  # in the order of their coming
+        self.ids: set[bytes] = set()  # as clients named the requests that are open or have just been
+        self.old_ids: deque[tuple[float, bytes]] = deque()
         self.next_id = 1
-        self.bodies = 0
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.draining = False
@@ -149,17 +155,17 @@
                     actions = self.balancer.handle(self.now(), event)
                 except Exception:
                     # Guards all other requests against a fault in one; the last guard answers that one.
-                    self._fault("the module failed on an event")
+                    self.fault("the module failed on an event")
                     actions = self.balancer.actions
                 for action in actions:
                     try:
                         self._act(action)
                     except Exception:
-                        self._fault("an action failed")
+                        self.fault("an action failed")
         finally:
             self.handling = False
 
-    def _fault(self, text: str) -> None:
+    def fault(self, text: str) -> None:
         if monotonic() - self.reported_at >= 1.0:
             self.reported_at = monotonic()
             log.exception(text)
@@ -197,6 +203,20 @@
 
     # Requests
 
+    def claim(self, call: Call) -> bool:
+        """Whether the id of a request is new.
+
+        Guards an open request against another one under its id, which its server would take for a second
+        copy of it; and one that has just been answered against running again.
+        """
+        before = monotonic() - IDS_KEPT
+        while self.old_ids and (self.old_ids[0][0] < before or len(self.old_ids) > IDS_MOST):
+            self.ids.discard(self.old_ids.popleft()[1])
+        if call.ident in self.ids:
+            return False
+        self.ids.add(call.ident)
+        return True
+
     def take(self, front: Front, call: Call) -> None:
         """Take a request: from here on it is owed one final answer."""
         held = Held(self.next_id, call, front)
@@ -248,6 +268,7 @@
 
     def _settle(self, held: Held) -> None:
         held.owed = False
+        self.old_ids.append((monotonic(), held.call.ident))
         self.held.pop(held.id, None)
         if held.timer is not None:
             held.timer.cancel()
@@ -375,23 +396,9 @@
 
     # Clients
 
-    def connected(self, front: Front) -> None:
-        self.fronts[front] = None
-        self.descriptors.held += 1
-        if self.descriptors.full and not self.upstreams.close_oldest():
-            for other in self.fronts:
-                if other.idle and other is not front:
-                    other.close()
-                    break
-            else:
-                if self.descriptors.exhausted:
-                    front.close()
-
     def disconnected(self, front: Front, call: Call | None) -> None:
         """A client has gone. Its request is over; what is out for it the module may call off."""
-        if front in self.fronts:
-            del self.fronts[front]
-            self.descriptors.held -= 1
+        self.clients.remove(front)
         held = self.held.get(call.ticket) if call is not None else None
         if held is not None:
             self._settle(held)
@@ -399,19 +406,11 @@
         elif self.draining:
             self._end_if_done()
 
-    def reserve_body(self, size: int) -> bool:
-        if self.bodies + size > BODIES_MOST:
-            return False
-        self.bodies += size
-        return True
-
-    def release_body(self, size: int) -> None:
-        self.bodies -= size
-
     # Housekeeping and the end
 
     def _sweep(self) -> None:
         self.upstreams.sweep()
+        self.clients.sweep()
         self.loop.call_later(SWEEP_EVERY, self._sweep)
 
     def drain(self) -> None:
@@ -429,7 +428,7 @@
         if self.server is not None:
             self.server.close()
         self.server = None
-        for front in list(self.fronts):
+        for front in list(self.clients.all):
             if front.idle:
                 front.close()
         self._end_if_done()
@@ -440,7 +439,7 @@
 
     def _end_if_done(self) -> None:
         """The end has come when nobody is connected any more: every answer has been flushed."""
-        if self.server is None and not self.fronts:
+        if self.server is None and not self.clients.all:
             self._stop()
 
     def _stop(self) -> None:
@@ -453,5 +452,5 @@
         self.upstreams.close()
         if self.peers is not None and self.peers.transport is not None:
             self.peers.transport.close()
-        for front in list(self.fronts):
+        for front in list(self.clients.all):
             front.close()
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import re
 from collections import deque
 from dataclasses import dataclass
@@ -18,14 +17,12 @@
 if TYPE_CHECKING:
     from .engine import Engine
 
-log = logging.getLogger("dykefold.front")
-
 BODY_MOST = 64 * 1024
 HEADERS_MOST = 32 * 1024
 MESSAGE_MOST = 8 * BODY_MOST  # with the framing of many small chunks
 WAITING_MOST = 16  # requests that a client may send ahead of their answers before it is read no further
 SLOW_READER = 5.0  # seconds that a client may leave an answer unread
-LINGER = 1.0  # seconds in which a rejected client may still read why
+LINGER = 2.0  # seconds in which a rejected client may still send, unheard, and read why
 DEADLINE = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 DEADLINE_UNITS = {b"m": 1_000_000, b"u": 1_000}
 COST = re.compile(rb"\d{1,12}(?:\.\d{1,9})?")
@@ -34,13 +31,20 @@
     400: b"Bad Request",
     404: b"Not Found",
     405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
 READY_TARGET = b"/-/ready"
+# Twice or in two forms, each reader may believe another one.
+SINGLE = frozenset(
+    (b"x-request-id", b"idempotency-key", b"x-deadline", b"x-key", b"x-tenant", b"transfer-encoding")
+)
 NOT_PASSED_ON = HOP_BY_HOP | {b"expect", b"x-deadline"}
 
 
@@ -57,6 +61,7 @@
 class Call:
     """A request as the client sent it."""
 
+    ident: bytes  # as the client named it
     method: bytes
     target: bytes
     headers: list[bytes]  # whole lines, as they go on
@@ -68,6 +73,7 @@
     cost_ns: int
     is_retry: bool
     keep_alive: bool
+    size: int = 0  # of what is held of it
     ticket: int = 0  # the engine's number for it
 
 
@@ -113,10 +119,11 @@
         cls = self.classes.get(name)
         if cls is None:
             raise RequestError(404, "unknown class")
-        if method not in (b"GET", b"POST"):
-            raise RequestError(405, "method must be GET or POST")
         spec = self.specs[cls]
-        if not headers.get(b"x-request-id"):
+        if method != (b"GET" if spec.effect is Effect.SAFE else b"POST"):
+            raise RequestError(405, "the method is not that of the class")
+        ident = headers.get(b"x-request-id")
+        if not ident:
             raise RequestError(400, "X-Request-Id is missing")
         # Guards the rule on effects: without the key no server could drop a repeat.
         if spec.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
@@ -139,6 +146,7 @@
         if value := headers.get(b"x-key"):
             key = int.from_bytes(blake2b(value, digest_size=8).digest(), "little")
         return Call(
+            ident,
             method,
             target,
             lines,
@@ -168,17 +176,20 @@
         self.paused = False  # no more is read until some of what waits is answered
         self.unread = False  # the client leaves answers unread
         self.slow: asyncio.TimerHandle | None = None
-        self.used = 0.0
-        self.body_size = 0
+        self.asked = False  # whether it has ever sent a whole message
+        self.held_size = 0
         self._begin()
 
     def _begin(self) -> None:
+        self.begun = False  # a message has begun and not ended
+        self.doubled = False
         self.target = b""
         self.headers: dict[bytes, bytes] = {}
         self.lines: list[bytes] = []
         self.body: list[bytes] = []
         self.size = 0  # of all that came of this message
         self.header_size = 0
+        self.message_size = 0  # of what is held of it
         self.in_body = False
 
     @property
@@ -191,7 +202,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         self.transport.set_write_buffer_limits(high=0)
-        self.engine.connected(self)
+        self.engine.clients.add(self)
 
     def data_received(self, data: bytes) -> None:
         if self.deaf or self.closed:
@@ -202,7 +213,7 @@
         except httptools.HttpParserUpgrade:
             self._reject(400, "upgrades are not known here")
         except httptools.HttpParserCallbackError:
-            log.exception("a request could not be read")
+            self.engine.fault("a request could not be read")
             self._reject(400, "unreadable request")
         except httptools.HttpParserError:
             self._reject(400, "malformed request")
@@ -210,6 +221,15 @@
         if self.size > (MESSAGE_MOST if self.in_body else HEADERS_MOST):
             self._reject(431, "headers are too long")
         self._pump()
+        self.engine.clients.place(self)
+
+    def expire(self) -> None:
+        """Its message has not come to an end in time; what it was taken for before is answered first."""
+        if self.begun:
+            self._reject(408, "the request took too long to come")
+            self._pump()
+        elif self.idle:
+            self.close()
 
     def eof_received(self) -> None:
         self.close()
@@ -218,10 +238,13 @@
         self.closed = True
         if self.slow is not None:
             self.slow.cancel()
-        self.engine.release_body(self.body_size)
-        self.body_size = 0
+        self.engine.memory.release(self.held_size)
+        self.held_size = 0
         call, self.current = self.current, None
         self.waiting.clear()
+        # Guards the memory: the two refer to each other, and a day of ever new connections would leave
+        # them all to the collector, which comes seldom.
+        del self.parser
         self.engine.disconnected(self, call)
 
     def pause_writing(self) -> None:
@@ -240,6 +263,9 @@
 
     # The parser's calls
 
+    def on_message_begin(self) -> None:
+        self.begun = True
+
     def on_url(self, url: bytes) -> None:
         self.target += url
 
@@ -248,6 +274,8 @@
             return
         self.header_size += len(name) + len(value) + len(b": \r\n")
         low = name.lower()
+        if low in SINGLE and low in self.headers:
+            self.doubled = True
         self.headers[low] = value
         if low not in NOT_PASSED_ON:
             self.lines.append(name + b": " + value + b"\r\n")
@@ -255,10 +283,14 @@
     def on_headers_complete(self) -> None:
         self.in_body = True
         length = self.headers.get(b"content-length", b"")
-        if self.header_size > HEADERS_MOST:
+        if self.header_size + len(self.target) > HEADERS_MOST:
             self._reject(431, "headers are too long")
+        elif self.headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
+            self._reject(501, "Transfer-Encoding must be chunked")
         elif length.isdigit() and int(length[:12]) > BODY_MOST:
             self._reject(413, "the body is too large")
+        elif not self._hold(self.header_size):
+            self._reject(503, "too much is held")
         elif self.headers.get(b"expect", b"").lower() == b"100-continue" and self.idle:
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -267,48 +299,57 @@
             return
         if sum(map(len, self.body)) + len(data) > BODY_MOST:
             self._reject(413, "the body is too large")
-        elif not self.engine.reserve_body(len(data)):
-            self._reject(503, "too many bodies are held")
+        elif not self._hold(len(data)):
+            self._reject(503, "too much is held")
         else:
-            self.body_size += len(data)
             self.body.append(data)
 
+    def _hold(self, size: int) -> bool:
+        if not self.engine.memory.reserve(size):
+            return False
+        self.held_size += size
+        self.message_size += size
+        return True
+
     def on_message_complete(self) -> None:
         if self.deaf:
             return
         if self.parser.should_upgrade():
             self._reject(400, "upgrades are not known here")
             return
+        self.asked = True
         keep_alive = self.parser.should_keep_alive()
-        body = b"".join(self.body)
         if self.target == READY_TARGET:
             self.waiting.append(Ready(keep_alive))
+            self._release(self.message_size)
         else:
             try:
-                self.waiting.append(
-                    self.engine.grammar.read(
-                        self.engine.now(),
-                        self.parser.get_method(),
-                        self.target,
-                        self.headers,
-                        self.lines,
-                        body,
-                        keep_alive,
-                    )
+                if self.doubled:
+                    raise RequestError(400, "a header came twice")
+                call = self.engine.grammar.read(
+                    self.engine.now(),
+                    self.parser.get_method(),
+                    self.target,
+                    self.headers,
+                    self.lines,
+                    b"".join(self.body),
+                    keep_alive,
                 )
+                call.size = self.message_size
+                self.waiting.append(call)
             except RequestError as problem:
                 problem.keep_alive = keep_alive
                 self.waiting.append(problem)
-                self._release(body)
+                self._release(self.message_size)
         self._begin()
 
         if len(self.waiting) >= WAITING_MOST and self.transport is not None and not self.paused:
             self.paused = True
             self.transport.pause_reading()
 
-    def _release(self, body: bytes) -> None:
-        self.engine.release_body(len(body))
-        self.body_size -= len(body)
+    def _release(self, size: int) -> None:
+        self.engine.memory.release(size)
+        self.held_size -= size
 
     # Answers
 
@@ -316,6 +357,9 @@
         """Answer what was sent before it, then this, and close: where a next request begins is not known."""
         if not self.deaf:
             self.deaf = True
+            self.begun = False
+            self._release(self.message_size)
+            self.body.clear()
             self.waiting.append(RequestError(code, text))
 
     def _pump(self) -> None:
@@ -326,9 +370,14 @@
         try:
             while self.waiting and self.current is None and not self.unread and not self.closed:
                 item = self.waiting.popleft()
-                if type(item) is Call:
+                if type(item) is Call and self.engine.claim(item):
                     self.current = item
                     self.engine.take(self, item)
+                elif type(item) is Call:
+                    self._release(item.size)
+                    self._respond(
+                        409, b"", b"a request with this id is open or has just been\n", item.keep_alive
+                    )
                 elif type(item) is Ready:
                     ok = not self.engine.draining
                     text = b"ready\n" if ok else b"draining\n"
@@ -346,9 +395,10 @@
         if self.current is not call:
             return
         self.current = None
-        self._release(call.body)
+        self._release(call.size)
         self._respond(code, headers, body, call.keep_alive)
         self._pump()
+        self.engine.clients.place(self)
 
     def _respond(self, code: int, headers: bytes, body: bytes, keep_alive: bool) -> None:
         if self.engine.draining and not self.waiting:
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -15,6 +15,7 @@
 import httptools
 
 from ..interface import State, Status
+from .limits import Descriptors
 
 HEADERS_MOST = 32 * 1024
 IDLE_PART = 0.7  # of the time after which a server may close an idle connection
@@ -34,25 +35,6 @@
 )
 
 
-class Descriptors:
-    """The sockets that this process may hold, on both sides together."""
-
-    RESERVE = 64  # for the listening side, discovery, peers, the loop and clients that come at the cap
-
-    def __init__(self, limit: int) -> None:
-        self.limit = max(limit - self.RESERVE, 8)
-        self.held = 0
-
-    @property
-    def full(self) -> bool:
-        return self.held >= self.limit
-
-    @property
-    def exhausted(self) -> bool:
-        """Whether clients have used up the reserve as well, as far as it is theirs."""
-        return self.held >= self.limit + self.RESERVE // 2
-
-
 @dataclass(slots=True)
 class Answer:
     """A whole answer."""
--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -22,8 +22,8 @@
     until,
 )
 
-from dykefold.net import engine as engine_module
-from dykefold.net import front
+from dykefold.net import clients, engine, front
+from dykefold.net.limits import MB, Descriptors, Memory
 from dykefold.net.peers import Peers
 
 ID = b"X-Request-Id: ab\r\n"
@@ -55,6 +55,14 @@
         (raw(b"POST /order", ID + b"Transfer-Encoding: chunked\r\n", b"zz\r\n"), 400),
         (raw(b"GET /lookup", ID + b"Connection: Upgrade\r\nUpgrade: h2c\r\n"), 400),
         (raw(b"CONNECT lookup:80"), 400),
+        (raw(b"GET /order"), 405),
+        (raw(b"GET /lookup", ID + b"X-Request-Id: cd\r\n"), 400),
+        (raw(b"POST /hold", ID + b"Idempotency-Key: a\r\nidempotency-key: b\r\nContent-Length: 0\r\n"), 400),
+        (raw(b"POST /order", ID + b"Content-Length: 4\r\nContent-Length: 5\r\n", b"body"), 400),
+        (raw(b"POST /order", ID + b"Content-Length: -4\r\n", b"body"), 400),
+        (raw(b"POST /order", ID + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", b"0\r\n\r\n"), 400),
+        (raw(b"POST /order", ID + b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", b"0\r\n\r\n"), 400),
+        (raw(b"POST /order", ID + b"Transfer-Encoding: gzip, chunked\r\n", b"0\r\n\r\n"), 501),
         (b"GET /lookup HTTP/1.1\r\nX-Long: " + b"x" * 40_000, 431),
         (raw(b"GET /lookup", b"X-Many: y\r\n" * 4000), 431),
     ],
@@ -70,8 +78,8 @@
             assert (await read_message(reader)).code == 200
             writer.close()
             assert [got.headers["x-request-id"] for got in fake.got] == ["before"]
-            await until(lambda: not sidecar.engine.fronts)
-            assert sidecar.engine.bodies == 0 and not sidecar.engine.descriptors.held - fake.connections
+            await until(lambda: not sidecar.engine.clients.all)
+            assert sidecar.engine.memory.held == 0 and not sidecar.engine.descriptors.held - fake.connections
 
     run(play())
 
@@ -122,7 +130,7 @@
         fake = await Fake(answer_ok).start()
         async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
             assert (await ask(sidecar.port, raw(b"GET http://origin.svc/lookup/x?y=1"))).code == 200
-            got = await ask(sidecar.port, b"GET /lookup HTTP/1.0\r\n" + ID + b"\r\n")
+            got = await ask(sidecar.port, b"GET /lookup HTTP/1.0\r\nX-Request-Id: cd\r\n\r\n")
             assert got.code == 200 and got.headers["connection"] == "close"
 
     run(play())
@@ -143,7 +151,7 @@
                 for n in range(2000):
                     writer.write(message("lookup", f"id{n}"))
                     await writer.drain()
-            await until(lambda: not sidecar.engine.fronts)
+            await until(lambda: not sidecar.engine.clients.all)
             assert len(fake.got) < 1000
             writer.transport.abort()
             assert (await ask(sidecar.port, message("lookup", "other"))).code == 200
@@ -162,15 +170,16 @@
 
 
 def test_bodies_are_bounded_all_together(tmp_path, monkeypatch):
-    monkeypatch.setattr(engine_module, "BODIES_MOST", 1000)
+    monkeypatch.setattr(Memory, "LEAST", 2000)
+    monkeypatch.setattr(Memory, "MOST", 2000)
 
     async def play():
         fake = await Fake(answer_ok).start()
         async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            assert (await ask(sidecar.port, message("order", "a", "900m", b"x" * 1001))).code == 503
+            assert (await ask(sidecar.port, message("order", "a", "900m", b"x" * 2001))).code == 503
             assert (await ask(sidecar.port, message("order", "b", "900m", b"x" * 1000))).code == 200
-            await until(lambda: not sidecar.engine.fronts)
-            assert sidecar.engine.bodies == 0
+            await until(lambda: not sidecar.engine.clients.all)
+            assert sidecar.engine.memory.held == 0
 
     run(play())
 
@@ -217,8 +226,8 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
             sock.setblocking(False)
             await loop.sock_connect(sock, (HOST, sidecar.port))
-            await until(lambda: sidecar.engine.fronts)
-            (client,) = sidecar.engine.fronts
+            await until(lambda: sidecar.engine.clients.all)
+            (client,) = sidecar.engine.clients.all
             sent = 0
             while not client.unread:  # until the kernel holds no more for it
                 await loop.sock_sendall(sock, message("lookup", f"id{sent}"))
@@ -266,3 +275,139 @@
             peer.transport.close()
 
     run(play())
+
+
+def test_the_share_of_clients_and_the_memory_follow_the_configuration():
+    for sockets in (256, 384, 1024):
+        shares = Descriptors(sockets)
+        assert shares.clients > sockets / 3  # what clients hold at most for requests
+        assert shares.limit - shares.clients > sockets / 3
+    assert Memory(32 * MB).most <= 4 * MB and Memory(192 * MB).most == Memory.MOST
+
+
+def test_silent_clients_go_first_and_leave_room_for_attempts(tmp_path):
+    """Guards attempts: silent clients took every descriptor, and pooled connections were closed for them."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        data = config(news(1, entry("s1", fake.address)), limits={"sockets": 80})
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            usual = [await asyncio.open_connection(HOST, sidecar.port) for _ in range(8)]
+            for number in range(4):
+                for place, (reader, writer) in enumerate(usual):
+                    writer.write(message("lookup", f"id{number}-{place}"))
+                    assert (await read_message(reader)).code == 200
+                flood = [await asyncio.open_connection(HOST, sidecar.port) for _ in range(60)]
+                await until(lambda: len(sidecar.engine.clients.all) == sidecar.engine.descriptors.clients)
+                for _, writer in flood:
+                    writer.close()
+                await until(lambda: len(sidecar.engine.clients.all) == len(usual))
+            assert fake.connections == 1 and not sidecar.engine.descriptors.full
+            for _, writer in usual:
+                writer.close()
+
+    run(play())
+
+
+def test_clients_that_never_end_a_message_are_answered_and_let_go(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "START_MOST", 0.3)
+    monkeypatch.setattr(clients, "IDLE_MOST", 60.0)
+
+    async def play():
+        async def act(message, reader, writer):
+            await go.wait()
+            writer.write(reply(200, b"served"))
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            held_reader, held_writer = await asyncio.open_connection(HOST, sidecar.port)
+            held_writer.write(message("order", "held") + b"POST /order HTTP/1.1\r\nX-Half: ")
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            assert await reader.read() == b""  # it said nothing
+            writer.close()
+            for half in (b"G", message("lookup", "a")[:-2], message("order", "b", "900m", b"body")[:-1]):
+                assert (await ask(sidecar.port, half)).code == 408
+            go.set()  # the request that was taken is answered all the same
+            assert (await read_message(held_reader)).code == 200
+            assert (await read_message(held_reader)).code == 408
+            held_writer.close()
+            await until(lambda: not sidecar.engine.clients.all)
+            assert not sidecar.engine.memory.held and len(fake.got) == 1
+
+    run(play())
+
+
+def test_clients_that_ask_once_and_stay_are_let_go(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "IDLE_MOST", 0.2)
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(message("lookup", "once"))
+            assert (await read_message(reader)).code == 200
+            assert await reader.read() == b""
+            writer.close()
+            await until(lambda: not sidecar.engine.clients.all)
+            assert not sidecar.engine.clients.idle and not sidecar.engine.clients.waited
+
+    run(play())
+
+
+def test_a_body_of_many_megabytes_is_refused_at_its_head_and_read_to_the_end(tmp_path):
+    """Guards the answer: closing with input unread would reset the connection before it is seen."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(raw(b"POST /order", ID + b"Content-Length: 60000000\r\n"))
+            for _ in range(60):
+                writer.write(bytes(1_000_000))
+                await writer.drain()
+            assert (await read_message(reader)).code == 413
+            assert await reader.read() == b""
+            writer.close()
+            assert not fake.got and not sidecar.engine.memory.held
+
+    run(play())
+
+
+def test_an_id_that_is_open_or_has_just_been_is_not_sent_again(tmp_path):
+    """Guards the rule on duplicates, and the first request from noticing anything of the second."""
+
+    async def play():
+        async def act(message, reader, writer):
+            await go.wait()
+            writer.write(reply(200, b"served " + message.body))
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            first = asyncio.create_task(ask(sidecar.port, message("order", "same", "3000m", b"1")))
+            await until(lambda: fake.got)
+            assert (await ask(sidecar.port, message("order", "same", "3000m", b"2"))).code == 409
+            go.set()
+            assert (await first).body == b"served 1"
+            assert (await ask(sidecar.port, message("order", "same", "3000m", b"3"))).code == 409
+            assert len(fake.got) == 1 and not sidecar.engine.memory.held
+
+    run(play())
+
+
+def test_the_ids_that_are_kept_are_bounded(tmp_path, monkeypatch):
+    monkeypatch.setattr(engine, "IDS_MOST", 100)
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            for number in range(1000):
+                writer.write(message("lookup", f"id{number}"))
+                await read_message(reader)
+            writer.close()
+            assert len(sidecar.engine.ids) <= 102 and len(sidecar.engine.old_ids) <= 102
+            assert not sidecar.engine.held and not sidecar.engine.attempts
+
+    run(play())
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -270,7 +270,7 @@
             await until(lambda: fake.ended == 1, "its attempt is called off")
             engine = sidecar.engine
             await until(lambda: not engine.held and not engine.attempts and not engine.balancer.open)
-            assert not engine.fronts
+            assert not engine.clients.all
             (server,) = engine.balancer.servers.values()
             assert not server.out  # the attempt's end was told as well
 
