Tell spoilt answers at once, free memory at once, hold the own lack against no server

Checked: the parser refuses doubled and contradictory lengths by itself; a length that can't fit was read until 96 KB were there, an answer that stalls was waited for to the deadline, interim answers set the count of bytes to nothing (Connection._reset); with the collector off, each exchange and connection stayed (Exchange.done <-> Attempt.exchange, parser <-> protocol) until the 20 million allocations of gc.set_threshold were made. Now: unfit lengths and unframed answers fail at the head, an answer has 0.5 s from its first byte, bodies count against the memory of all; ends break the cycles; an attempt that waits for a connection takes one that comes free; no descriptor left is MOOT, which the module holds against no server; load reports take plain figures only.

--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -12,7 +12,7 @@
 from time import monotonic
 
 from ..interface import Endpoint, ListKind, Membership, State, Status
-from .limits import Descriptors
+from .limits import MB, Descriptors, Memory
 from .upstream import Answer, Exchange, Upstreams
 
 log = logging.getLogger("dykefold.discovery")
@@ -163,7 +163,7 @@
         self.address = address
         self.host = f"{address[0]}:{address[1]}"
         # Connections of its own: the cap on those to servers must never keep the list from being read.
-        self.calls = Upstreams(self.loop, Descriptors(1024), CONNECT_WITHIN, 30.0)
+        self.calls = Upstreams(self.loop, Descriptors(1024), Memory(192 * MB), CONNECT_WITHIN, 30.0)
         self.calls.update(DISCOVERY, address, 0, State.READY)
 
     def turn(self, address: tuple[str, int]) -> None:
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -12,12 +12,13 @@
 from .. import interface as api
 from ..interface import Settings, State, Status
 from ..logic import Balancer
-from ..settings import Transport, canonical_column
+from ..settings import Transport
 from .clients import Clients
 from .discovery import Discovery, Listed, Names, News
 from .front import BODY_MOST, Call, Front, Grammar
 from .limits import Descriptors, Memory
 from .peers import Address, Peers
+from .reports import Reports
 from .upstream import Answer, Exchange, Upstreams
 
 log = logging.getLogger("dykefold")
@@ -67,31 +68,6 @@
     owed: bool = True  # its final answer
 
 
-class Reports:
-    """Reads load reports by the names of their fields, in the order that the module expects."""
-
-    def __init__(self, columns: tuple[str, ...]) -> None:
-        self.columns = columns
-        self.places = {column.encode(): place for place, column in enumerate(columns)}
-
-    def read(self, text: bytes) -> tuple[float, ...]:
-        """The figures; none at all if one is missing or unreadable."""
-        values: list[float | None] = [None] * len(self.columns)
-        for pair in text.split(b","):
-            name, _, value = pair.partition(b"=")
-            name = name.strip()
-            place = self.places.get(name)
-            if place is None:
-                place = self.places.get(canonical_column(name.decode("latin-1")).encode())
-            if place is not None:
-                try:
-                    values[place] = float(value)
-                except ValueError:
-                    return ()
-        known = [value for value in values if value is not None and math.isfinite(value)]
-        return tuple(known) if len(known) == len(values) else ()
-
-
 class Engine:
     def __init__(
         self,
@@ -118,7 +94,9 @@
         self.memory = Memory(memory)
         self.clients = Clients(self.descriptors)
         connect_timeout = settings.connect_timeout_ns / SECOND or 1.0
-        self.upstreams = Upstreams(loop, self.descriptors, connect_timeout, transport.conn_idle_ns / SECOND)
+        self.upstreams = Upstreams(
+            loop, self.descriptors, self.memory, connect_timeout, transport.conn_idle_ns / SECOND
+        )
         self.discovery = Discovery(
             loop, discovery, names, known.version, self.on_news, pushed=not settings.must_ask
         )
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -15,9 +15,10 @@
 import httptools
 
 from ..interface import State, Status
-from .limits import Descriptors
+from .limits import Descriptors, Memory
 
 HEADERS_MOST = 32 * 1024
+STALL_MOST = 0.5  # seconds from an answer's first byte to its last: servers write it when it is ready
 IDLE_PART = 0.7  # of the time after which a server may close an idle connection
 HOP_BY_HOP = frozenset(
     (
@@ -52,24 +53,28 @@
 class Exchange:
     """One request on its way to one server, until its one end."""
 
-    __slots__ = ("answer_most", "connection", "done", "ended", "opening", "payload", "timer")
+    __slots__ = ("answer_most", "connection", "done", "opening", "payload", "timer")
 
     def __init__(self, payload: bytes, done: Done, answer_most: int) -> None:
         self.payload = payload
-        self.done = done
+        self.done: Done | None = done
         self.answer_most = answer_most
         self.connection: Connection | None = None  # once the first byte has gone out
         self.opening: asyncio.Task[None] | None = None  # while a connection is being made
         self.timer: asyncio.TimerHandle | None = None
-        self.ended = False
+
+    @property
+    def ended(self) -> bool:
+        return self.done is None
 
     def end(self, status: Status, answer: Answer | None = None) -> None:
-        if self.ended:
+        # Guards the memory as well: who waits refers to this, and would else be left to the collector.
+        done, self.done = self.done, None
+        if done is None:
             return
-        self.ended = True
         if self.timer is not None:
             self.timer.cancel()
-        self.done(self, status, answer)
+        done(self, status, answer)
 
     def give_up(self, status: Status) -> None:
         """Stop waiting. Its connection is closed first, so that no later attempt overlaps with it."""
@@ -95,7 +100,7 @@
         self.generation = 0  # grows with each restart or move: connections of an earlier one are not kept
         self.takes_new = True
         self.idle: list[Connection] = []  # the most recently used last
-        self.opening: set[Exchange] = set()
+        self.opening: dict[Exchange, None] = {}  # those that wait for a connection, in their order
 
 
 class Connection(asyncio.Protocol):
@@ -112,14 +117,22 @@
         self.closed = False
         self.idle_since = 0.0
         self.parser = httptools.HttpResponseParser(self)
+        self.held = 0  # bytes of an answer's body, until it is whole
+        self.stalled: asyncio.TimerHandle | None = None
         self._reset()
 
     def _reset(self) -> None:
+        self.size = 0  # of all that came for this exchange
+        self.spoilt = False
+        self._begin()
+
+    def _begin(self) -> None:
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
-        self.size = 0
+        self.in_body = False
+        self.length = b""
+        self.encoding = b""
         self.not_run = False
-        self.framed = False
         self.keep_alive = False
         self.load = b""
         self.whole: Answer | None = None
@@ -153,8 +166,11 @@
             self.stray = True
         if self.whole is not None:
             self._finish()
-        elif self.size > HEADERS_MOST + self.exchange.answer_most:
+        elif self.spoilt or self.size > HEADERS_MOST + (self.exchange.answer_most if self.in_body else 0):
             self._break()  # guards against an endless answer filling the memory
+        elif self.stalled is None:
+            # Guards against an answer that says more than comes: it would be waited for to the deadline.
+            self.stalled = self.upstreams.loop.call_later(STALL_MOST, self._break)
 
     def eof_received(self) -> None:
         # An answer that only the end of the connection delimits cannot be told from one cut short, so
@@ -163,6 +179,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._break()
+        # Guards the memory: the two refer to each other.
+        del self.parser
 
     # The parser's calls
 
@@ -178,21 +196,41 @@
             self.not_run = value.strip() == b"1"
         elif low == b"x-load":
             self.load = value
-        elif low in (b"content-length", b"transfer-encoding"):
-            self.framed = True
+        elif low == b"content-length":
+            self.length = value
+        elif low == b"transfer-encoding":
+            self.encoding = value
         elif low not in HOP_BY_HOP:
             self.headers.append((name, value))
 
+    def on_headers_complete(self) -> None:
+        if self.whole is not None or self.parser.get_status_code() < 200:
+            return
+        self.in_body = True
+        assert self.exchange is not None
+        # What can't fit, or has no end but the connection's, is known to be of no use before it comes.
+        if self.encoding:
+            self.spoilt = self.encoding.lower() != b"chunked"
+        else:
+            self.spoilt = not self.length or int(self.length) > self.exchange.answer_most
+
     def on_body(self, data: bytes) -> None:
-        if self.whole is None:
-            self.body.append(data)
+        if self.whole is not None or self.spoilt:
+            return
+        if not self.upstreams.memory.reserve(len(data)):
+            self.spoilt = True
+            return
+        self.held += len(data)
+        self.body.append(data)
 
     def on_message_complete(self) -> None:
         if self.whole is not None:
             return
         code = self.parser.get_status_code()
-        if code < 200:  # an interim answer, the real one follows
-            self._reset()
+        if code < 200:  # an interim answer, the real one follows; what came counts on, or it had no bound
+            self._begin()
+            return
+        if self.spoilt:
             return
         # Asked here, since the parser answers for the next message as soon as this call is over: asked
         # later it is always no, and every request pays for a connection of its own.
@@ -233,13 +271,22 @@
         exchange, answer = self.exchange, self.whole
         assert exchange is not None and answer is not None
         self.exchange = None
-        reusable = self.keep_alive and self.framed and not self.unwritten and not self.stray
-        if reusable:
+        self._let_go()
+        if self.keep_alive and not self.unwritten and not self.stray:
             self.upstreams.keep(self)
         else:
             self.close()
         exchange.end(classify(answer), answer)
 
+    def _let_go(self) -> None:
+        """Of what an answer took while it came."""
+        if self.stalled is not None:
+            self.stalled.cancel()
+            self.stalled = None
+        self.upstreams.memory.release(self.held)
+        self.held = 0
+        self.body, self.headers, self.whole = [], [], None
+
     def _break(self) -> None:
         """The connection is of no more use; what was on it has no whole answer."""
         exchange, self.exchange = self.exchange, None
@@ -253,6 +300,7 @@
             return
         self.closed = True
         self.upstreams.dropped(self)
+        self._let_go()
         if self.transport is not None:
             self.transport.abort()
 
@@ -273,11 +321,13 @@
         self,
         loop: asyncio.AbstractEventLoop,
         descriptors: Descriptors,
+        memory: Memory,
         connect_timeout: float,
         idle_most: float,
     ) -> None:
         self.loop = loop
         self.descriptors = descriptors
+        self.memory = memory
         self.connect_timeout = connect_timeout
         self.idle_most = idle_most * IDLE_PART
         self.targets: dict[int, Target] = {}
@@ -326,19 +376,20 @@
 
     def _open(self, target: Target, exchange: Exchange) -> None:
         if self.descriptors.full and not self.close_oldest():
-            self.loop.call_soon(exchange.end, Status.CONNECT_FAILED)
+            # The own lack says nothing of the server, which must not be held to have failed.
+            self.loop.call_soon(exchange.end, Status.MOOT)
             return
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         except OSError:  # out of descriptors in spite of the count: one request less, not the process
             self.close_oldest()
-            self.loop.call_soon(exchange.end, Status.CONNECT_FAILED)
+            self.loop.call_soon(exchange.end, Status.MOOT)
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(self, target, sock)
         self.connections.add(connection)
         self.descriptors.held += 1
-        target.opening.add(exchange)
+        target.opening[exchange] = None
         exchange.opening = self.loop.create_task(self._connect(target, exchange, connection))
 
     async def _connect(self, target: Target, exchange: Exchange, connection: Connection) -> None:
@@ -347,10 +398,11 @@
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, target.address)
         except (OSError, asyncio.CancelledError):
-            target.opening.discard(exchange)
+            target.opening.pop(exchange, None)
             connection.close()
             sock.close()
-            exchange.end(Status.CONNECT_FAILED)
+            if exchange.connection is None:  # else it took one that came free meanwhile
+                exchange.end(Status.CONNECT_FAILED)
             return
         # No cancelling from here on: the loop is taking the descriptor over, and it would be closed twice.
         exchange.opening = None
@@ -359,8 +411,8 @@
         except OSError:
             connection.close()
         finally:
-            target.opening.discard(exchange)
-        if exchange.ended:
+            target.opening.pop(exchange, None)
+        if exchange.ended or exchange.connection is not None:  # it is over, or took one that came free
             self.keep(connection)
         elif connection.closed or not connection.send(exchange):
             connection.close()
@@ -373,6 +425,14 @@
         if connection.closed or not target.takes_new or connection.generation != target.generation:
             connection.close()
             return
+        # One that waits for a connection of its own need not: the one that is being made is kept instead.
+        if target.opening:
+            exchange = next(iter(target.opening))
+            if connection.send(exchange):
+                del target.opening[exchange]
+            else:
+                connection.close()
+            return
         connection.idle_since = monotonic()
         target.idle.append(connection)
 
--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -107,18 +107,21 @@
 
 def test_chunked_and_full_sized_bodies_go_on_whole(tmp_path):
     async def play():
-        fake = await Fake(answer_ok).start()
+        async def echo(message, reader, writer):
+            writer.write(reply(200, message.body))
+
+        fake = await Fake(echo).start()
         async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
             chunks = b"3\r\nabc\r\n2\r\nde\r\n0\r\nX-Deadline: bad\r\n\r\n"
             data = raw(b"POST /order", ID + b"Transfer-Encoding: chunked\r\n", chunks)
-            assert (await ask(sidecar.port, data)).body == b"served abcde"
+            assert (await ask(sidecar.port, data)).body == b"abcde"
             body = b"x" * front.BODY_MOST
             reader, writer = await asyncio.open_connection(HOST, sidecar.port)
             whole = message("order", "big", "3000m", body, "Expect: 100-continue")
             writer.write(whole[: -len(body)])
             assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100 ")
             writer.write(body)
-            assert (await read_message(reader)).body == b"served " + body
+            assert (await read_message(reader)).body == body
             writer.close()
         assert fake.got[1].body == body and "transfer-encoding" not in fake.got[0].headers
 
@@ -170,13 +173,13 @@
 
 
 def test_bodies_are_bounded_all_together(tmp_path, monkeypatch):
-    monkeypatch.setattr(Memory, "LEAST", 2000)
-    monkeypatch.setattr(Memory, "MOST", 2000)
+    monkeypatch.setattr(Memory, "LEAST", 3000)
+    monkeypatch.setattr(Memory, "MOST", 3000)
 
     async def play():
         fake = await Fake(answer_ok).start()
         async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            assert (await ask(sidecar.port, message("order", "a", "900m", b"x" * 2001))).code == 503
+            assert (await ask(sidecar.port, message("order", "a", "900m", b"x" * 3001))).code == 503
             assert (await ask(sidecar.port, message("order", "b", "900m", b"x" * 1000))).code == 200
             await until(lambda: not sidecar.engine.clients.all)
             assert sidecar.engine.memory.held == 0
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -293,7 +293,21 @@
             read = sidecar.engine.reports.read
             assert read(b"cpu=0.25, rps=3") == (3.0, 0.25)
             assert read(b"qps=3,util=0.25,more=1") == (3.0, 0.25)
-            for broken in (b"", b"rps=3", b"rps=3,cpu=nan", b"rps=3,cpu=x", b"=,=", b"\xff=1"):
+            for figure in (
+                b"nan",
+                b"inf",
+                b"-1",
+                b"1e9",
+                b"x",
+                b"",
+                b"1_0",
+                b"9" * 400,
+                b"0x1",
+                b"1.",
+                b"\xb2",
+            ):
+                assert read(b"rps=3,cpu=" + figure) == ()
+            for broken in (b"", b"rps=3", b"=,=", b"\xff=1", b"rps=1,rps=2,cpu=0.5", b"," * 9000):
                 assert read(broken) == ()
 
     run(play())
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -1,21 +1,25 @@
 """Connections to servers: idle ones that die, connects that hang, drains, the cap on descriptors."""
 
 import asyncio
+import contextlib
 import errno
+import gc
 import socket
+import weakref
 
 import pytest
 from net_helpers import HOST, WAIT, Fake, answer_ok, reply, run, silent, until
 
 from dykefold.interface import State, Status
 from dykefold.net import upstream
-from dykefold.net.upstream import Descriptors, Exchange, Upstreams
+from dykefold.net.limits import MB, Descriptors, Memory
+from dykefold.net.upstream import Exchange, Upstreams
 
 PAYLOAD = b"GET /lookup HTTP/1.1\r\nX-Request-Id: ab\r\n\r\n"
 
 
 def make(address, connect_timeout=5.0, limit=1024, idle=60.0):
-    pool = Upstreams(asyncio.get_running_loop(), Descriptors(limit), connect_timeout, idle)
+    pool = Upstreams(asyncio.get_running_loop(), Descriptors(limit), Memory(192 * MB), connect_timeout, idle)
     pool.update(1, address, 0, State.READY)
     return pool
 
@@ -255,7 +259,7 @@
             raise OSError(errno.EMFILE, "Too many open files")
 
         monkeypatch.setattr(upstream.socket, "socket", exhausted)
-        assert await start(pool)[1] == (Status.CONNECT_FAILED, None)
+        assert await start(pool)[1] == (Status.MOOT, None)  # it says nothing of the server
         monkeypatch.setattr(upstream.socket, "socket", real)
         assert (await start(pool)[1])[0] is Status.OK
         pool.close()
@@ -271,13 +275,164 @@
         ends = [start(pool)[1] for _ in range(8)]
         for end in ends:
             assert (await end)[0] is Status.OK
+        await until(lambda: len(pool.targets[1].idle) == 8)
         waits = [start(pool, 2)[1] for _ in range(8)]
         await until(lambda: len(other.got) == 8)
         assert not pool.targets[1].idle and pool.descriptors.held == 8
-        assert await start(pool, 2)[1] == (Status.CONNECT_FAILED, None)
+        assert await start(pool, 2)[1] == (Status.MOOT, None)
         assert not any(end.done() for end in waits)
         pool.close()
         for end in waits:
             end.cancel()
 
     run(play())
+
+
+OK = reply(200, b"second")
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nwho knows whether this is all",
+        b"HTTP/1.1 OK 200\r\nContent-Length: 5\r\n\r\nhello",
+        b"\x16\x03\x01 noise",
+        b"HTTP/1.1 200 OK\r\n" + b"X-Pad: y\r\n" * 4000,
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" * 8000,
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + OK,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhello",  # less than it says, and nothing more
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+    ],
+    ids=lambda data: repr(data[:50]),
+)
+def test_a_spoilt_answer_is_a_reset_at_once_and_its_connection_is_closed(spoilt, monkeypatch):
+    """Guards requests against waiting to their deadline at a connection that stays open and is of no use."""
+    monkeypatch.setattr(upstream, "STALL_MOST", 0.2)
+
+    async def play():
+        async def act(message, reader, writer):
+            if fake.connections > 1:
+                writer.write(OK)
+                return
+            writer.write(spoilt)
+            with contextlib.suppress(OSError):
+                await reader.read()
+            closed.set()
+
+        closed = asyncio.Event()
+        fake = await Fake(act).start()
+        pool = make((HOST, fake.port))
+        assert await start(pool)[1] == (Status.RESET, None)
+        await closed.wait()
+        status, answer = await start(pool)[1]
+        assert status is Status.OK and answer.body == b"second"
+        assert not pool.memory.held and len(pool.connections) == 1
+        pool.close()
+
+    run(play())
+
+
+def test_interim_answers_ahead_are_passed_over():
+    async def play():
+        async def act(message, reader, writer):
+            writer.write(
+                b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK
+            )
+
+        fake = await Fake(act).start()
+        pool = make((HOST, fake.port))
+        for _ in range(3):
+            status, answer = await start(pool)[1]
+            assert status is Status.OK and answer.body == b"second"
+            assert [name for name, _ in answer.headers] == []
+        assert fake.connections == 1
+        pool.close()
+
+    run(play())
+
+
+def test_answers_over_the_memory_of_all_are_cut_off():
+    async def play():
+        async def act(message, reader, writer):
+            writer.write(reply(200, b"x" * 5000))
+
+        fake = await Fake(act).start()
+        pool = make((HOST, fake.port))
+        pool.memory.most = 4000
+        assert await start(pool)[1] == (Status.RESET, None)
+        pool.memory.most = 6000
+        assert (await start(pool)[1])[0] is Status.OK
+        assert pool.memory.held == 0
+        pool.close()
+
+    run(play())
+
+
+def test_one_that_waits_for_a_connection_takes_one_that_comes_free():
+    async def play():
+        async def act(message, reader, writer):
+            if len(fake.got) == 1:
+                await go.wait()
+            writer.write(reply())
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        pool = make((HOST, fake.port))
+        _, first = start(pool)
+        await until(lambda: fake.got)
+        real, pool.loop = pool.loop, SlowConnects(pool.loop)
+        _, second = start(pool)
+        go.set()
+        assert (await first)[0] is Status.OK and (await second)[0] is Status.OK
+        assert {got.connection for got in fake.got} == {1}
+        pool.loop.go.set()
+        await until(lambda: len(pool.targets[1].idle) == 2)  # the other one is kept
+        assert not pool.targets[1].opening
+        pool.loop = real
+        pool.close()
+
+    run(play())
+
+
+class SlowConnects:
+    """A loop on which connections come up only when they are let."""
+
+    def __init__(self, loop):
+        self.real = loop
+        self.go = asyncio.Event()
+
+    def __getattr__(self, name):
+        return getattr(self.real, name)
+
+    async def sock_connect(self, sock, address):
+        await self.go.wait()
+        await self.real.sock_connect(sock, address)
+
+
+def test_ended_exchanges_and_connections_leave_nothing_to_the_collector():
+    """Guards the memory of a long day: what refers to itself is freed only when the collector comes."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        pool = make((HOST, fake.port))
+        exchange, end = start(pool)
+        await end
+        (connection,) = pool.connections
+        seen = weakref.ref(connection)
+        exchange_gone = exchange.done is None and exchange.timer.cancelled()
+        pool.close()
+        del connection, exchange
+        gc.disable()
+        try:
+            await until(lambda: seen() is None)
+        finally:
+            gc.enable()
+        assert exchange_gone
+
+    run(play())
