Don't count attempts whose answers are lost as in flight; refuse early what can't be sent

Checked: what was in flight was spread evenly over all servers, which went silent one after another and answered others in between; those answers that came took 60 to 90 ms, so that it was no load; no failed connects, no lack of descriptors. At fault: Balancer._overdue pressed again at each doubling, up to 4 each time, and nothing took attempts whose answer is lost out of Balancer.inflight before their deadlines: they filled the limit that they had shrunk. Now an attempt that is overdue twice at a server that answers others is not counted any more, and an overdue one presses once. Probes that fail leave no entry in the table of askers.

--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -50,6 +50,8 @@
 BACKOFF_USEFUL = 0.25  # class means that must be left after the delay: less is hardly ever enough
 RETRY_SHARE = 0.1  # repeats per first try in the long run: bounds amplification when all fails
 RETRY_RESERVE = 10.0  # ... and saved up for this many seconds of traffic, for a sudden loss of servers
+UNSENT_MOST = 0.45  # of a request's time may pass with nothing sent: then it is refused, while another try
+# elsewhere or later is of use
 RETRY_AFTER = 0.5  # of the time left or to the aim, as advice with a refusal: a new try has the other half
 RETRY_AFTER_LEAST = 0.5  # of it after jitter, lest refused clients come back together
 
@@ -161,6 +163,8 @@
 OVERDUE, REPEAT, WATCH = range(3)  # kinds of timers
 PROVES_NOT_RUN = frozenset((Status.FULL, Status.CONNECT_FAILED, Status.MOOT))
 
+UNWRITTEN = frozenset((Status.CONNECT_FAILED, Status.MOOT))
+
 
 def _part(time: float, usual: float) -> float:
     """How likely so much time is enough, from 0 to 1."""
@@ -174,9 +178,13 @@
         self.id = entry.server
         self.rank = rank  # by the own seed: each sidecar samples from others
         self.out: dict[tuple[int, int], tuple[int, int]] = {}  # (request, attempt) -> (sent, class)
+        self.lost: set[tuple[int, int]] = set()  # of these, whose answers are not waited for any more
         self.listed = True
         self.restart(entry)
 
+    def waited_for(self) -> int:
+        return len(self.out) - len(self.lost)
+
     def restart(self, entry: Endpoint) -> None:
         self.zone = entry.zone
         self.kind = entry.kind
@@ -214,12 +222,14 @@
 class Open:
     """A request that is owed an answer."""
 
-    def __init__(self, request: Request, spec: RequestClass) -> None:
+    def __init__(self, request: Request, spec: RequestClass, now: int) -> None:
         self.id = request.id
         self.cls = request.cls
         self.tenant = request.tenant
         self.spec = spec
         self.deadline = request.deadline_ns
+        self.send_by = now + int(UNSENT_MOST * (self.deadline - now))
+        self.written = False  # some attempt has reached a server
         self.age = 0  # since the client's first try, as far as is known
         self.attempts: list[list] = []  # [server, sent, state], by number
         self.repeats = 0  # delays waited so far
@@ -328,7 +338,7 @@
 
     def _on_request(self, event: Request) -> None:
         spec = self.settings.classes[event.cls]
-        req = Open(event, spec)
+        req = Open(event, spec, self.now)
         self.open[req.id] = req
         self.retry_tokens = min(
             self.retry_tokens + RETRY_SHARE, RETRY_SHARE * RETRY_RESERVE * max(self.rate, 1.0)
@@ -398,15 +408,18 @@
         server = self.servers.get(event.server)
         sent = server.out.pop((event.id, event.attempt), None) if server else None
         if sent is not None:
-            if not server.ejected:
+            lost = (event.id, event.attempt) in server.lost
+            server.lost.discard((event.id, event.attempt))
+            if not lost and not server.ejected:
                 self.inflight -= 1
-            self._learn(server, sent[0], sent[1], event)
+            self._learn(server, sent[0], sent[1], event, lost)
         req = self.open.get(event.id)
         if req is None:
             return
         if event.attempt < len(req.attempts):
             proven = event.status in PROVES_NOT_RUN
             req.attempts[event.attempt][2] = NEVER_RAN if proven else MAY_HAVE_RUN
+            req.written |= event.status not in UNWRITTEN
         if event.final:
             self._forget(req)
         elif event.status is Status.ERROR:
@@ -436,10 +449,11 @@
 
     def _on_probe(self, event: ProbeResult) -> None:
         server = self.servers.get(event.server)
+        waiting = self.asking.pop(event.server, ())
         if server is None or event.status is not Status.OK:
             return  # the requests that asked go elsewhere when their wait is over
         self._heed(server, event.report)
-        for ident in self.asking.pop(server.id, ()):
+        for ident in waiting:
             req = self.open.get(ident)
             if req is not None and req.asked and all(s.load_at >= req.asked_at for s in req.asked):
                 self._choose(req)
@@ -684,6 +698,7 @@
         first = not req.attempts  # held for want of any server: not a repeat
         if (
             left <= 0
+            or (not req.written and self.now + delay > req.send_by)
             or delay + BACKOFF_USEFUL * self.base[req.cls] > left
             or (not first and ((self.retry_tokens < 1.0 and not req.charged) or not self._any_left(req)))
         ):
@@ -744,7 +759,7 @@
 
     # Health
 
-    def _learn(self, server: Server, sent: int, cls: int, event: Outcome) -> None:
+    def _learn(self, server: Server, sent: int, cls: int, event: Outcome, lost: bool) -> None:
         """Take an attempt's end into the estimates of its server and class."""
         status = event.status
         took = event.duration_ns
@@ -779,7 +794,7 @@
                 self._sample(server, took / base)
         else:
             self._sample(server, max(took / base, FAILURE_SAMPLE, server.rel))
-            if status is Status.TIMEOUT and server.last_ok > sent:
+            if status is Status.TIMEOUT and server.last_ok > sent and not lost:
                 self._press(server, cls, took)
             if status is not Status.TIMEOUT:
                 self._strike(server, 1.0, EJECT_SHARE)
@@ -810,9 +825,12 @@
         if state != OUT:
             return
         silent = server.last_ok <= sent
-        if not silent:
+        if not first:
+            if not silent:
+                self._write_off(server, (req.id, number))
+        elif not silent:
             self._press(server, req.cls, self.now - sent)  # late news is no use: count it while it waits
-        elif first:  # one long piece of work must not condemn a server by itself
+        else:  # one long piece of work must not condemn a server by itself
             self._strike(server, HINT_STRIKE, EJECT_SHARE_ON_SILENCE)
         if server.ejected:
             self._rescue(req, number)
@@ -820,6 +838,17 @@
         if again < req.deadline:
             self._at(again, OVERDUE, req.id, number + AGAIN)
 
+    def _write_off(self, server: Server, attempt: tuple[int, int]) -> None:
+        """Take an attempt that is overdue twice out of what is in flight: its answer is most likely lost.
+
+        Guards against a network that drops answers: Little's law holds for what comes back. Attempts that
+        never do filled a shrinking limit until their deadlines, and all requests were refused.
+        """
+        if attempt not in server.lost:
+            server.lost.add(attempt)
+            if not server.ejected:
+                self.inflight -= 1
+
     def _rescue(self, req: Open, number: int) -> None:
         """Repeat an attempt that its server seems to have lost, where the class and the site allow it."""
         if req.planned or req.streaming or req.spec.effect is Effect.UNSAFE:
@@ -842,7 +871,7 @@
 
     def _eject(self, server: Server) -> None:
         server.ejected = True
-        self.inflight -= len(server.out)
+        self.inflight -= server.waited_for()
         server.ejections = 0
         self._set_trial(server)
         self._regroup()
@@ -871,7 +900,7 @@
 
     def _readmit(self, server: Server) -> None:
         server.ejected = False
-        self.inflight += len(server.out)
+        self.inflight += server.waited_for()
         server.rel = min(server.rel, FULL_SAMPLE)
         self._regroup()
 
@@ -1154,7 +1183,7 @@
                 self.servers[entry.server] = Server(entry, self.random.random())
             elif entry.started_ns != server.started or (entry.state is State.READY and not server.ready):
                 if server.ejected:
-                    self.inflight += len(server.out)
+                    self.inflight += server.waited_for()
                 server.restart(entry)
             else:
                 server.ready = entry.state is State.READY
--- /dev/null
+++ b/tests/test_net_long_day.py
@@ -0,0 +1,70 @@
+"""A long day in short: whatever is ever new must leave nothing behind, and inherit nothing."""
+
+from net_helpers import HOST, Fake, Sidecar, answer_ok, ask, config, entry, message, news, run, until
+
+from dykefold.net.discovery import read_news
+
+DAYS_WORTH = 3000
+
+
+def test_ever_new_servers_keys_and_clients_leave_no_tables_behind(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s0", fake.address)))) as sidecar:
+            engine, module = sidecar.engine, sidecar.engine.balancer
+            for number in range(1, DAYS_WORTH):
+                change = news(
+                    number + 1,
+                    entry(f"s{number}", fake.address, since_ms=number, zone=f"z{number}"),
+                    entry(f"s{number - 1}", fake.address, "DELETED"),
+                    snapshot=False,
+                )
+                engine.on_news(read_news(change, engine.names))
+                if number % 20 == 0:
+                    data = message("lookup", f"id{number}", "900m", b"", f"X-Key: key{number}")
+                    assert (await ask(sidecar.port, data)).code == 200
+                assert len(engine.names.servers) <= 2
+            await until(lambda: not engine.clients.all)
+            assert len(module.servers) <= 2 and len(engine.upstreams.targets) == 1
+            assert len(engine.upstreams.connections) <= 2
+            assert len(module.groups) <= 4 and len(engine.names.zones) <= 256
+            assert not (module.open or module.asking or engine.held or engine.attempts)
+            assert len(module.timers) <= DAYS_WORTH / 20  # each goes with its deadline, whatever came of it
+            assert module.inflight == 0 and engine.memory.held == 0
+
+    run(play())
+
+
+def test_a_new_server_at_an_old_address_inherits_nothing(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            engine, module = sidecar.engine, sidecar.engine.balancer
+            for number in range(3):
+                assert (await ask(sidecar.port, message("lookup", f"a{number}"))).code == 200
+            (old,) = module.servers.values()
+            assert old.samples == 3
+            old.strikes = 5.0
+            module._eject(old)
+            change = news(2, entry("s1", fake.address, "DELETED"), entry("s2", fake.address), snapshot=False)
+            engine.on_news(read_news(change, engine.names))
+            (new,) = [server for server in module.servers.values() if server.listed]
+            assert new is not old and not new.ejected and not new.samples and not module.ejected
+            assert (await ask(sidecar.port, message("lookup", "b"))).code == 200
+            assert fake.connections == 2 and fake.got[-1].connection == 2
+
+    run(play())
+
+
+def test_a_server_that_comes_back_after_it_was_deleted_is_a_new_one(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", f"{HOST}:9")))) as sidecar:
+            engine = sidecar.engine
+            for index, status in ((2, "DELETED"), (3, "SERVING")):
+                change = news(index, entry("s1", fake.address, status), snapshot=False)
+                engine.on_news(read_news(change, engine.names))
+            assert (await ask(sidecar.port, message("order", "a"))).code == 200
+            assert list(engine.upstreams.targets) == list(engine.balancer.servers)
+
+    run(play())
