--- a/dykefold/net/clients.py
+++ b/dykefold/net/clients.py
@@ -35,7 +35,10 @@
         self.descriptors.held += 1
         self.waited[front] = monotonic()
         if len(self.all) > self.descriptors.clients:
-            self._one_to_leave(front).close()
+            other = self._one_to_leave(front)
+            self.waited.pop(other, None)
+            self.idle.pop(other, None)
+            other.close()
 
     def remove(self, front: Front) -> None:
         self.waited.pop(front, None)
@@ -47,19 +50,21 @@
     def place(self, front: Front) -> None:
         """Note what a connection does now: after it was read, and after an answer."""
         self.idle.pop(front, None)
+        if front not in self.all:
+            return
         if front.begun:
             self.waited.setdefault(front, monotonic())
         elif front.asked:
             self.waited.pop(front, None)
-            if front.idle and front in self.all:
+            if front.idle:
                 self.idle[front] = monotonic()
 
     def _one_to_leave(self, new: Front) -> Front:
         """Guards the usual clients against those that connect by hundreds and say nothing."""
-        first = next((front for front in self.waited if not front.asked), new)
+        first = next(front for front in self.waited if not front.asked)  # the new one at the latest
         few = len(self.waited) <= self.descriptors.clients * FEW
         if few and self.waited[first] > monotonic() - YOUNG:
-            first = next(iter(self.idle), first)
+            first = next(iter(self.idle), new)
         return first
 
     def sweep(self) -> None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -3,7 +3,7 @@
 import heapq
 
 import pytest
-from helpers import MS, SECOND, START, endpoint, make, request, settings
+from helpers import MS, SECOND, START, endpoint, make, play_timers, request, settings
 
 from dykefold import Balancer
 from dykefold.interface import (
@@ -296,3 +296,35 @@
     assert sent and all(action.server != 100 for action in sent)
     actions = balancer.handle(now, request(99, now, cls=0))
     assert [a.server for a in actions if isinstance(a, Send)] == [100]
+
+
+def test_attempts_whose_answers_are_lost_do_not_fill_the_limit():
+    """Guards against a network that drops answers: they filled the limit, and all was refused."""
+    balancer, now = make(servers=4, effect=Effect.UNSAFE, second_copies=False)
+    sent = {}
+    for ident in range(400):
+        now += 5 * MS
+        (send,) = [a for a in balancer.handle(now, request(ident, now)) if isinstance(a, Send)]
+        balancer.handle(now + MS, Outcome(ident, 0, send.server, Status.OK, 40 * MS, True))
+    for ident in range(1000, 1008):  # these are never answered, while others are
+        for action in balancer.handle(now, request(ident, now)):
+            if isinstance(action, Send):
+                sent[ident] = action.server
+    assert balancer.inflight == len(sent) == 8
+    for ident in range(2000, 2200):
+        now += 5 * MS
+        balancer.handle(now, Timer(balancer.timer_token))
+        (send,) = [a for a in balancer.handle(now, request(ident, now)) if isinstance(a, Send)]
+        balancer.handle(now + MS, Outcome(ident, 0, send.server, Status.OK, 40 * MS, True))
+    assert balancer.inflight < 8
+    for ident, server in sent.items():  # each is told in the end, and counted once
+        balancer.handle(now, Outcome(ident, 0, server, Status.TIMEOUT, 2 * SECOND, True))
+    assert balancer.inflight == 0 and not any(s.out or s.lost for s in balancer.servers.values())
+
+
+def test_what_can_not_be_sent_is_refused_before_half_its_time():
+    """Guards the client's time: told early and when to come back, it may yet be served."""
+    balancer, now = make(entries=[], effect=Effect.UNSAFE)
+    done = play_timers(balancer, now, balancer.handle(now, request(7, now)), now + 2 * SECOND)
+    ((when, refuse),) = [(when, action) for when, action in done if isinstance(action, Refuse)]
+    assert now < when < now + SECOND and refuse.retry_after_ns > 0
