--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -121,6 +121,7 @@
         ends = [start(pool)[1] for _ in range(3)]
         for end in ends:
             assert (await end)[0] is Status.OK
+        await until(lambda: len(pool.targets[1].idle) == 3)  # one may have taken another's, its own comes yet
         latest = pool.targets[1].idle[-1]
         _, end = start(pool)
         assert latest.exchange is not None
