Let clients' connections in, keep and let go by admission rules; budget descriptors

Change: dykefold/admission/ decides without I/O: how many idle connections are of use is learned from what was open at once in the last seconds, how long to wait for a next request from the gaps clients leave; beyond these the never reused go first. An accept edge of its own outlives EMFILE; every request has its upstream descriptor set aside when it is taken. Limits follow RLIMIT_NOFILE and SIGHUP.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -7,16 +7,18 @@
 import json
 import logging
 import os
+import resource
 import signal
+import socket
 import sys
 from dataclasses import dataclass
 
 import uvloop
 
+from .admission.addresses import Caps
 from .interface import Settings
 from .net.discovery import ListError, Names, News, read_news, split_address
 from .net.engine import Engine
-from .net.front import Front
 from .net.limits import MB
 from .net.peers import Address, Peers
 from .settings import Transport, nested_settings, nested_transport
@@ -49,6 +51,12 @@
     known: News
 
 
+def _system_limit() -> int:
+    """Descriptors that the system lets this process hold; it may be changed while running."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return SOCKETS if soft == resource.RLIM_INFINITY else soft
+
+
 def read_config(path: str | None) -> Config:
     if not path:
         raise ConfigError("GW_CONFIG is not set")
@@ -64,7 +72,7 @@
             listen=split_address(data["listen"], least_port=0),
             discovery=split_address(data["discovery"]),
             seed=int(data["seed"], 16),
-            sockets=min(int(limits.get("sockets", SOCKETS)), SOCKETS),
+            sockets=min(int(limits.get("sockets", SOCKETS)), SOCKETS, _system_limit()),
             memory=int(limits.get("memory_mb", MEMORY_MB) * MB),
             peer_listen=split_address(data["peer_listen"]) if data.get("peer_listen") else None,
             peers=[split_address(peer) for peer in data.get("peers", [])],
@@ -103,6 +111,7 @@
     except ConfigError as error:
         log.warning("the configuration stays as it was: %s", error)
         return
+    engine.limit(config.sockets, Caps())
     engine.discovery.turn(config.discovery)
 
 
@@ -117,7 +126,7 @@
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.on_peer)
             await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
             engine.peers = peers
-        engine.server = await loop.create_server(lambda: Front(engine), *config.listen, backlog=BACKLOG)
+        listener = engine.listen(socket.create_server(config.listen, backlog=BACKLOG))
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
     # What was made until now lives as long as the process: collections need not look at it again, nor
@@ -125,7 +134,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
-    log.info("%s listens at %s:%d", config.name, *engine.server.sockets[0].getsockname())
+    log.info("%s listens at %s:%d", config.name, *listener.address)
     await engine.stopped
     engine.close()
 
--- /dev/null
+++ b/dykefold/admission/budget.py
@@ -0,0 +1,62 @@
+"""What each purpose may hold of the process's descriptors. No I/O: the edges ask before they open.
+
+A request that is taken has a descriptor for its connection to a server set aside until it is over, also
+between two attempts, so that the limit is never met in its middle: at most `upstreams` requests and
+probes are claimed, and each needs one connection at a time.
+"""
+
+from __future__ import annotations
+
+LOOP = 16  # the event loop, standard streams, the listening socket, peers' datagrams
+ACCEPTING = 16  # accepted in one turn of the loop, before the closings that made room take effect
+CALLS = 2  # of discovery: a watch and a fetch
+DISCOVERY = 2 * CALLS  # ... each at the old and at the new address across a change of it
+FILES = 3  # the configuration while it is read again, and what the runtime opens now and then
+SPARE = 1  # kept open only to be closed when the system has none left
+RESERVED = LOOP + ACCEPTING + DISCOVERY + FILES + SPARE
+LEAST = 8  # for clients and upstreams together, however low the limit
+CLIENTS_PART = 2  # the clients' side gets one in so many of the rest
+REQUESTS_PART = 3  # clients hold one in so many of all descriptors for requests at most
+
+
+class Allowance:
+    """How many descriptors one purpose may hold, and holds."""
+
+    __slots__ = ("held", "most")
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.held = 0
+
+    @property
+    def full(self) -> bool:
+        """Whether one must be closed before another is opened."""
+        return self.held >= self.most
+
+
+class Budget:
+    """All descriptors of the process by purpose; what clients hold is counted by the admission rules."""
+
+    def __init__(self, limit: int) -> None:
+        self.upstreams = Allowance(0)
+        self.claims = 0  # requests that are open, and attempts and probes that are out beyond these
+        self.resize(limit)
+
+    def resize(self, limit: int) -> None:
+        """Take another limit on the descriptors of the whole process."""
+        rest = max(limit - RESERVED, LEAST)
+        # Clients need a third for requests. What they may hold beyond that must leave enough to attempts,
+        # or silent clients keep every request from its server.
+        self.clients = rest // CLIENTS_PART
+        self.usable = max(limit // REQUESTS_PART, 1)
+        self.upstreams.most = rest - self.clients
+
+    def claim(self) -> bool:
+        """Set a descriptor aside for a connection to a server; False if all are."""
+        if self.claims >= self.upstreams.most:
+            return False
+        self.claims += 1
+        return True
+
+    def unclaim(self) -> None:
+        self.claims -= 1
--- /dev/null
+++ b/dykefold/admission/clients.py
@@ -0,0 +1,144 @@
+"""The clients' connections together: carries out what the admission rules say of them."""
+
+from __future__ import annotations
+
+import logging
+from time import monotonic
+from typing import Protocol
+
+from .addresses import Caps
+from .rules import Admission, Client, Reason, Share, State
+
+log = logging.getLogger("dykefold.admission")
+
+NOTES_APART_S = 10.0  # between two log lines on the same limit
+WORDS = {
+    Reason.CONNECTIONS: "connections of one address",
+    Reason.NEW_CONNECTIONS: "new connections of one address a second",
+    Reason.FULL: "connections in all, and none of those open may be closed",
+    Reason.OPEN_REQUESTS: "open requests of one address",
+    Reason.UNFINISHED_BYTES: "bytes in unfinished messages of one address",
+    Reason.REQUESTS: "open requests in all, or descriptors for their connections to servers",
+}
+
+
+class Guest(Protocol):
+    """A client's connection as the edge needs it."""
+
+    client: Client
+    begun: bool  # a message has begun and not ended
+    paused: bool  # it is not being read
+    deaf: bool  # nothing more is read of it
+    busy: bool  # a request of it is open or waits, or an answer is on its way out
+    messages: int  # whole ones so far
+
+    def close(self) -> None: ...
+
+    def expire(self) -> None: ...
+
+
+class Clients:
+    """Every open connection by its `Client`."""
+
+    def __init__(self, admission: Admission) -> None:
+        self.admission = admission
+        self.all: dict[Client, Guest] = {}
+        self.met = dict.fromkeys(Reason, 0)  # limits met since the last log line on each
+        self.noted_at_s = dict.fromkeys(Reason, -NOTES_APART_S)
+
+    def admit(self, host: str) -> tuple[Client | None, Reason | None]:
+        """Ask for a new connection from an address; one that has to make room is closed here."""
+        client, reason, victim = self.admission.connect(host, monotonic())
+        if victim is not None:
+            self._close(victim)
+        if reason is not None:
+            self.note(reason, host)
+        return client, reason
+
+    def add(self, guest: Guest) -> None:
+        self.all[guest.client] = guest
+        self._let_go(self.admission.surplus(monotonic()))
+
+    def remove(self, client: Client) -> None:
+        """A connection has closed."""
+        self.admission.leave(client)
+        self.all.pop(client, None)
+
+    def place(self, guest: Guest) -> None:
+        """Note what a connection does now: after it was read, and after an answer."""
+        now = monotonic()
+        if guest.busy:
+            state = State.BUSY
+        elif guest.deaf:
+            state = State.LEAVING
+        elif guest.begun:
+            state = State.READING
+        else:
+            state = State.ONCE if guest.messages else State.SILENT
+        self.admission.place(guest.client, state, guest.begun, guest.messages, now)
+        if state is State.ONCE:
+            self._let_go(self.admission.surplus(now))
+
+    def open_request(self, client: Client) -> bool:
+        """Count a request as open; False if its address has too many."""
+        reason = self.admission.open_request(client, monotonic())
+        if reason is not None:
+            self.note(reason, client.host)
+        return reason is None
+
+    def close_request(self, client: Client, served: bool) -> None:
+        self.admission.close_request(client, served, monotonic())
+
+    def hold(self, client: Client, size: int) -> bool:
+        """Count bytes of an unfinished message; False if its address has too many."""
+        held = self.admission.hold(client, size, monotonic())
+        if not held:
+            self.note(Reason.UNFINISHED_BYTES, client.host)
+        return held
+
+    def free(self, client: Client, size: int) -> None:
+        self.admission.free(client, size)
+
+    def resize(self, share: Share, caps: Caps) -> None:
+        """Take other limits, and close those for whom there is no room any more."""
+        self._let_go(self.admission.resize(share, caps, monotonic()))
+
+    def release(self) -> bool:
+        """Let one go since the system has no descriptor left; whether there was one to go."""
+        client = self.admission.release(monotonic())
+        if client is not None:
+            self._close(client)
+        return client is not None
+
+    def sweep(self) -> None:
+        """Guards descriptors and memory against clients that never end a message or never come back."""
+        now = monotonic()
+        for client in self.admission.late(now):
+            guest = self.all.get(client)
+            if guest is None:
+                continue
+            if guest.paused:
+                self.admission.wait_again(client, now)  # its end may have come long ago
+            else:
+                self.admission.offence(client.address, now)
+                guest.expire()
+        self._let_go(self.admission.unused(now))
+        self._let_go(self.admission.surplus(now))
+
+    def note(self, reason: Reason, host: str) -> None:
+        """Log that a limit was met: one line now, then the number of times with the next line."""
+        self.met[reason] += 1
+        now = monotonic()
+        if now - self.noted_at_s[reason] >= NOTES_APART_S:
+            self.noted_at_s[reason] = now
+            log.warning("limit met: %s; %d refused, last %s", WORDS[reason], self.met[reason], host)
+            self.met[reason] = 0
+
+    def _let_go(self, clients: list[Client]) -> None:
+        for client in clients:
+            self._close(client)
+
+    def _close(self, client: Client) -> None:
+        guest = self.all.get(client)
+        if guest is not None:
+            guest.close()
--- /dev/null
+++ b/dykefold/admission/listener.py
@@ -0,0 +1,172 @@
+"""The listening socket: accepts what the rules let in, refuses the rest, and outlives a lack of descriptors.
+
+asyncio's own servers either spin or drop the listener's reader for a second when `accept` meets EMFILE,
+and build a transport before anybody can say no. Here the address is known with the accepted socket, so a
+refusal costs three system calls.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import logging
+import os
+import socket
+from collections.abc import Callable
+from time import monotonic
+
+from .budget import ACCEPTING
+from .clients import Clients, Guest
+from .rules import Client, Reason
+
+log = logging.getLogger("dykefold.admission")
+
+STARVED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+PAUSE_S = 0.05  # without accepting when the system has no descriptor; a released one ends it sooner
+NOTES_APART_S = 10.0
+RETRY_AFTER_S = 1
+UNREAD_MOST = 4096  # bytes that a refused client may have sent already: unread they would reset the refusal
+
+
+def _refusal(code: int, reason: str, text: str) -> bytes:
+    body = f"refused: {text}\n"
+    head = f"HTTP/1.1 {code} {reason}\r\nRetry-After: {RETRY_AFTER_S}\r\nConnection: close\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode()
+
+
+REFUSALS = {
+    Reason.CONNECTIONS: _refusal(429, "Too Many Requests", "too many connections from this address"),
+    Reason.NEW_CONNECTIONS: _refusal(429, "Too Many Requests", "too many new connections from this address"),
+    Reason.FULL: _refusal(503, "Service Unavailable", "too many connections"),
+}
+
+
+class Listener:
+    """Accepts on one non-blocking listening socket; `make` builds a connection's protocol for a client."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        clients: Clients,
+        make: Callable[[Client], Guest],
+    ) -> None:
+        self.loop = loop
+        self.sock = sock
+        self.clients = clients
+        self.make = make
+        self.spare: int | None = None
+        self.resume: asyncio.TimerHandle | None = None
+        self.starting: set[asyncio.Task[None]] = set()
+        self.noted_at_s = -NOTES_APART_S
+        self.closed = False
+        self._take_spare()
+        sock.setblocking(False)
+        loop.add_reader(sock.fileno(), self._ready)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.sock.getsockname()[:2]
+
+    def _ready(self) -> None:
+        for _ in range(ACCEPTING):
+            try:
+                sock, peer = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionAbortedError:  # it was reset while it waited
+                continue
+            except OSError as error:
+                if error.errno not in STARVED:
+                    raise
+                self._starved(error)
+                return
+            client, reason = self.clients.admit(peer[0])
+            if client is None:
+                _refuse(sock, reason or Reason.FULL)
+                continue
+            sock.setblocking(False)
+            guest = self.make(client)
+            self.clients.add(guest)
+            task = self.loop.create_task(self._start(sock, guest))
+            self.starting.add(task)
+            task.add_done_callback(self.starting.discard)
+
+    async def _start(self, sock: socket.socket, guest: Guest) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: guest, sock)  # type: ignore[arg-type, return-value]
+        except (OSError, asyncio.CancelledError):
+            sock.close()
+            self.clients.remove(guest.client)
+
+    # Without descriptors
+
+    def _starved(self, error: OSError) -> None:
+        """Guards the loop against spinning on a listener that stays readable while nothing can be accepted.
+
+        Somebody who may leave makes room for the next turn. If nobody may, the spare descriptor turns
+        away who waits, so that they hear it rather than hang in the backlog.
+        """
+        if monotonic() - self.noted_at_s >= NOTES_APART_S:
+            self.noted_at_s = monotonic()
+            log.warning("limit met: descriptors of the process or system (%s)", error.strerror)
+        if not self.clients.release():
+            self._turn_away()
+        self.pause()
+
+    def _turn_away(self) -> None:
+        for _ in range(ACCEPTING):
+            if self.spare is None:
+                return
+            os.close(self.spare)
+            self.spare = None
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                self._take_spare()
+                return
+            _refuse(sock, Reason.FULL)
+            self._take_spare()
+
+    def _take_spare(self) -> None:
+        if self.spare is None:
+            with contextlib.suppress(OSError):  # somebody else was faster: it is tried again
+                self.spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
+
+    def pause(self) -> None:
+        if self.resume is None and not self.closed:
+            self.loop.remove_reader(self.sock.fileno())
+            self.resume = self.loop.call_later(PAUSE_S, self.released)
+
+    def released(self) -> None:
+        """A descriptor has come free, or the pause is over: accept again."""
+        if self.resume is None:
+            return
+        self.resume.cancel()
+        self.resume = None
+        self._take_spare()
+        self.loop.add_reader(self.sock.fileno(), self._ready)
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        if self.resume is not None:
+            self.resume.cancel()
+            self.resume = None
+        else:
+            self.loop.remove_reader(self.sock.fileno())
+        self.sock.close()
+        if self.spare is not None:
+            os.close(self.spare)
+            self.spare = None
+
+
+def _refuse(sock: socket.socket, reason: Reason) -> None:
+    with sock, contextlib.suppress(OSError):
+        sock.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            sock.recv(UNREAD_MOST)
+        sock.send(REFUSALS[reason])
+        sock.shutdown(socket.SHUT_WR)
--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -11,8 +11,9 @@
 from functools import partial
 from time import monotonic
 
+from ..admission.budget import CALLS, Allowance
 from ..interface import Endpoint, ListKind, Membership, State, Status
-from .limits import MB, Descriptors, Memory
+from .limits import MB, Memory
 from .upstream import Answer, Exchange, Upstreams
 
 log = logging.getLogger("dykefold.discovery")
@@ -162,8 +163,8 @@
     def _connect(self, address: tuple[str, int]) -> None:
         self.address = address
         self.host = f"{address[0]}:{address[1]}"
-        # Connections of its own: the cap on those to servers must never keep the list from being read.
-        self.calls = Upstreams(self.loop, Descriptors(1024), Memory(192 * MB), CONNECT_WITHIN, 30.0)
+        # An allowance of its own: the cap on connections to servers must never keep the list from being read.
+        self.calls = Upstreams(self.loop, Allowance(CALLS), Memory(192 * MB), CONNECT_WITHIN, 30.0)
         self.calls.update(DISCOVERY, address, 0, State.READY)
 
     def turn(self, address: tuple[str, int]) -> None:
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -5,18 +5,23 @@
 import asyncio
 import logging
 import math
+import socket
 from collections import deque
 from dataclasses import dataclass
 from time import monotonic, monotonic_ns, time_ns
 
 from .. import interface as api
+from ..admission.addresses import Caps
+from ..admission.budget import Budget
+from ..admission.clients import Clients
+from ..admission.listener import Listener
+from ..admission.rules import Admission, Reason, Share
 from ..interface import Settings, State, Status
 from ..logic import Balancer
 from ..settings import Transport
-from .clients import Clients
 from .discovery import Discovery, Listed, Names, News
 from .front import BODY_MOST, Call, Front, Grammar
-from .limits import Descriptors, Memory
+from .limits import Memory
 from .peers import Address, Peers
 from .reports import Reports
 from .upstream import Answer, Exchange, Upstreams
@@ -33,6 +38,7 @@
 IDS_MOST = 8192  # ... so many ids of requests that are over can't be used again
 ACCEPT_AFTER_TERM = 0.5  # seconds for which new connections and requests still come
 ANSWER_AFTER_TERM = 3.3  # seconds after which nothing held goes unanswered: the platform kills soon after
+RETRY_AFTER_NS = 500 * MS  # as advice with a refusal for want of room here
 FLUSH_AFTER_TERM = 0.3  # seconds beyond that for clients to read their answers
 
 
@@ -64,6 +70,8 @@
     front: Front
     timer: asyncio.TimerHandle | None = None
     attempts: int = 0
+    out: int = 0  # of these, attempts that have not ended
+    claims: int = 1  # descriptors set aside for it
     may_have_run: bool = False  # some attempt has ended without a proof that it did not
     owed: bool = True  # its final answer
 
@@ -80,6 +88,7 @@
         discovery: Address,
         names: Names,
         known: News,
+        caps: Caps | None = None,
     ) -> None:
         self.loop = loop
         self.settings = settings
@@ -90,12 +99,12 @@
         self.grammar = Grammar(settings)
         self.reports = Reports(settings.report_columns)
         self.probe_path = b"/-/load" if settings.report_columns else b"/-/healthy"
-        self.descriptors = Descriptors(sockets)
+        self.budget = Budget(sockets)
         self.memory = Memory(memory)
-        self.clients = Clients(self.descriptors)
+        self.clients = Clients(Admission(self._share(), caps or Caps()))
         connect_timeout = settings.connect_timeout_ns / SECOND or 1.0
         self.upstreams = Upstreams(
-            loop, self.descriptors, self.memory, connect_timeout, transport.conn_idle_ns / SECOND
+            loop, self.budget.upstreams, self.memory, connect_timeout, transport.conn_idle_ns / SECOND
         )
         self.discovery = Discovery(
             loop, discovery, names, known.version, self.on_news, pushed=not settings.must_ask
@@ -111,7 +120,7 @@
         self.draining = False
         self.taking = True
         self.stopped = loop.create_future()
-        self.server: asyncio.Server | None = None
+        self.listener: Listener | None = None
         self.reported_at = -math.inf  # when an exception of the module was last logged
         self._apply(known, api.ListKind.CACHED)
         if not settings.must_ask:
@@ -181,29 +190,38 @@
 
     # Requests
 
-    def claim(self, call: Call) -> bool:
-        """Whether the id of a request is new.
+    def admit(self, front: Front, call: Call) -> tuple[int, bytes, bytes] | None:
+        """Set aside what a request will need; or the code, headers and text with which it is turned away.
 
-        Guards an open request against another one under its id, which its server would take for a second
-        copy of it; and one that has just been answered against running again.
+        The id must be new: guards an open request against another one under its id, which its server
+        would take for a second copy of it; and one that has just been answered against running again.
         """
         before = monotonic() - IDS_KEPT
         while self.old_ids and (self.old_ids[0][0] < before or len(self.old_ids) > IDS_MOST):
             self.ids.discard(self.old_ids.popleft()[1])
         if call.ident in self.ids:
-            return False
+            return 409, b"", b"a request with this id is open or has just been\n"
+        if not self.clients.open_request(front.client):
+            return 429, self._come_back(), b"too many open requests from this address\n"
+        if len(self.held) >= self.max_open or not self.budget.claim():
+            self.clients.close_request(front.client, served=False)
+            self.clients.note(Reason.REQUESTS, "")
+            return 503, self._come_back(), b"too many open requests\n"
         self.ids.add(call.ident)
-        return True
+        return None
+
+    def _come_back(self) -> bytes:
+        """The advice that goes with a refusal, where the settings allow it."""
+        if not self.settings.retry_after:
+            return b""
+        return _retry_after(min(RETRY_AFTER_NS, self.settings.max_retry_after_ns))
 
     def take(self, front: Front, call: Call) -> None:
-        """Take a request: from here on it is owed one final answer."""
+        """Take an admitted request: from here on it is owed one final answer."""
         held = Held(self.next_id, call, front)
         call.ticket = held.id
         self.next_id += 1
         self.held[held.id] = held
-        if len(self.held) > self.max_open:
-            self._finish(held, 503, b"", b"too many open requests\n")
-            return
         now = self.now()
         left = max(call.deadline_ns - GUARD_MARGIN_NS - now, 0)
         held.timer = self.loop.call_later(left / SECOND, self._guard, held)
@@ -241,11 +259,13 @@
 
     def _finish(self, held: Held, code: int, headers: bytes, body: bytes) -> None:
         """Give the one final answer."""
-        self._settle(held)
+        self._settle(held, served=code == 200)
         held.front.answer(held.call, code, headers, body)
 
-    def _settle(self, held: Held) -> None:
+    def _settle(self, held: Held, served: bool = False) -> None:
         held.owed = False
+        self.clients.close_request(held.front.client, served)
+        self._unclaim(held)
         self.old_ids.append((monotonic(), held.call.ident))
         self.held.pop(held.id, None)
         if held.timer is not None:
@@ -253,13 +273,19 @@
         if self.draining:
             self._end_if_done()
 
+    def _unclaim(self, held: Held) -> None:
+        """Give back what was set aside for attempts that no longer can be; one that is out keeps its own."""
+        while held.claims > max(held.out, held.owed):
+            held.claims -= 1
+            self.budget.unclaim()
+
     def _refuse(self, action: api.Refuse) -> None:
         held = self.held.get(action.id)
         if held is None:
             return
         headers = b""
         if action.retry_after_ns > 0:
-            headers = b"Retry-After: %.3f\r\n" % (action.retry_after_ns / SECOND)
+            headers = _retry_after(action.retry_after_ns)
         self._finish(held, 503, headers, b"refused\n")
 
     # Attempts
@@ -272,9 +298,10 @@
         attempt = Attempt(held.id, held.attempts, action.server, now)
         held.attempts += 1
         self.attempts[held.id, attempt.number] = attempt
+        held.out += 1
         last = held.call.deadline_ns - ATTEMPT_MARGIN_NS - now
         wait = min(action.timeout_ns, last) if action.timeout_ns > 0 else last
-        if held.attempts > self.settings.max_attempts or wait <= 0:
+        if held.attempts > self.settings.max_attempts or wait <= 0 or not self._claim_attempt(held):
             self._end_attempt(held, attempt, Status.MOOT, None)
             return
 
@@ -284,6 +311,14 @@
         attempt.exchange = Exchange(self._payload(held.call, wait), done, BODY_MOST)
         self.upstreams.start(action.server, attempt.exchange, wait / SECOND)
 
+    def _claim_attempt(self, held: Held) -> bool:
+        """Whether a descriptor is set aside for one more attempt: always, unless two may be out at once."""
+        if held.claims < held.out:
+            if not self.budget.claim():
+                return False
+            held.claims += 1
+        return True
+
     @staticmethod
     def _payload(call: Call, wait: int) -> bytes:
         length = b"Content-Length: %d\r\n" % len(call.body) if call.body or call.method == b"POST" else b""
@@ -299,6 +334,8 @@
     def _end_attempt(self, held: Held, attempt: Attempt, status: Status, answer: Answer | None) -> None:
         """An attempt has ended: a whole 200 reaches the client, the module hears of all."""
         self.attempts.pop((held.id, attempt.number), None)
+        held.out -= 1
+        self._unclaim(held)
         if status not in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT):
             held.may_have_run = True
         report: tuple[float, ...] = ()
@@ -318,8 +355,12 @@
 
     def _probe(self, server: int) -> None:
         started = self.now()
+        if not self.budget.claim():
+            self.loop.call_soon(self.post, api.ProbeResult(server, Status.MOOT, 0, ()))
+            return
 
         def done(_: Exchange, status: Status, answer: Answer | None) -> None:
+            self.budget.unclaim()
             report: tuple[float, ...] = ()
             if answer is not None and self.reports.columns:
                 report = self.reports.read(answer.load or answer.body.strip())
@@ -376,7 +417,7 @@
 
     def disconnected(self, front: Front, call: Call | None) -> None:
         """A client has gone. Its request is over; what is out for it the module may call off."""
-        self.clients.remove(front)
+        self.clients.remove(front.client)
         held = self.held.get(call.ticket) if call is not None else None
         if held is not None:
             self._settle(held)
@@ -384,6 +425,22 @@
         elif self.draining:
             self._end_if_done()
 
+    # Limits
+
+    def _share(self) -> Share:
+        return Share(self.budget.clients, self.budget.usable)
+
+    def listen(self, sock: socket.socket) -> Listener:
+        """Begin to take clients' connections on a listening socket."""
+        self.listener = Listener(self.loop, sock, self.clients, lambda client: Front(self, client))
+        return self.listener
+
+    def limit(self, sockets: int, caps: Caps) -> None:
+        """Take other limits while running: what is open beyond them goes, except what a request needs."""
+        self.budget.resize(sockets)
+        self.clients.resize(self._share(), caps)
+        self.upstreams.shrink()
+
     # Housekeeping and the end
 
     def _sweep(self) -> None:
@@ -403,10 +460,10 @@
 
     def _stop_taking(self) -> None:
         self.taking = False
-        if self.server is not None:
-            self.server.close()
-        self.server = None
-        for front in list(self.clients.all):
+        if self.listener is not None:
+            self.listener.close()
+        self.listener = None
+        for front in list(self.clients.all.values()):
             if front.idle:
                 front.close()
         self._end_if_done()
@@ -417,7 +474,7 @@
 
     def _end_if_done(self) -> None:
         """The end has come when nobody is connected any more: every answer has been flushed."""
-        if self.server is None and not self.clients.all:
+        if self.listener is None and not self.clients.all:
             self._stop()
 
     def _stop(self) -> None:
@@ -430,5 +487,9 @@
         self.upstreams.close()
         if self.peers is not None and self.peers.transport is not None:
             self.peers.transport.close()
-        for front in list(self.clients.all):
+        for front in list(self.clients.all.values()):
             front.close()
+
+
+def _retry_after(after_ns: int) -> bytes:
+    return b"Retry-After: %.3f\r\n" % (after_ns / SECOND)
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from ..admission.rules import Client
 from ..interface import Effect, Settings
 from .upstream import HOP_BY_HOP
 
@@ -34,6 +35,7 @@
     408: b"Request Timeout",
     409: b"Conflict",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     501: b"Not Implemented",
     502: b"Bad Gateway",
@@ -164,8 +166,9 @@
 class Front(asyncio.Protocol):
     """A client's connection: one request after another, one answer to each in their order."""
 
-    def __init__(self, engine: Engine) -> None:
+    def __init__(self, engine: Engine, client: Client) -> None:
         self.engine = engine
+        self.client = client
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.waiting: deque[Call | Ready | RequestError] = deque()
@@ -176,7 +179,8 @@
         self.paused = False  # no more is read until some of what waits is answered
         self.unread = False  # the client leaves answers unread
         self.slow: asyncio.TimerHandle | None = None
-        self.asked = False  # whether it has ever sent a whole message
+        self.leaving = False  # it is to be closed as soon as it has a transport
+        self.messages = 0  # whole ones so far
         self.held_size = 0
         self._begin()
 
@@ -195,14 +199,20 @@
     @property
     def idle(self) -> bool:
         """Whether it can be closed without harm: no request waits, no answer is still on its way out."""
-        return self.current is None and not self.waiting and not self.unread and not self.deaf
+        return not self.busy and not self.deaf
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request of it is open or waits, or an answer is still on its way out."""
+        return self.current is not None or bool(self.waiting) or self.unread
 
     # The transport's calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         self.transport.set_write_buffer_limits(high=0)
-        self.engine.clients.add(self)
+        if self.leaving:
+            self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
         if self.deaf or self.closed:
@@ -228,6 +238,7 @@
         if self.begun:
             self._reject(408, "the request took too long to come")
             self._pump()
+            self.engine.clients.place(self)
         elif self.idle:
             self.close()
 
@@ -238,8 +249,8 @@
         self.closed = True
         if self.slow is not None:
             self.slow.cancel()
-        self.engine.memory.release(self.held_size)
-        self.held_size = 0
+        self._end_message()
+        self._release(self.held_size)
         call, self.current = self.current, None
         self.waiting.clear()
         # Guards the memory: the two refer to each other, and a day of ever new connections would leave
@@ -258,6 +269,7 @@
             self.slow.cancel()
             self.slow = None
         self._pump()
+        self.engine.clients.place(self)
         if self.idle and not self.engine.taking:
             self.close()
 
@@ -289,9 +301,11 @@
             self._reject(501, "Transfer-Encoding must be chunked")
         elif length.isdigit() and int(length[:12]) > BODY_MOST:
             self._reject(413, "the body is too large")
-        elif not self._hold(self.header_size):
-            self._reject(503, "too much is held")
-        elif self.headers.get(b"expect", b"").lower() == b"100-continue" and self.idle:
+        elif (
+            self._hold(self.header_size)
+            and self.headers.get(b"expect", b"").lower() == b"100-continue"
+            and self.idle
+        ):
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -299,25 +313,33 @@
             return
         if sum(map(len, self.body)) + len(data) > BODY_MOST:
             self._reject(413, "the body is too large")
-        elif not self._hold(len(data)):
-            self._reject(503, "too much is held")
-        else:
+        elif self._hold(len(data)):
             self.body.append(data)
 
     def _hold(self, size: int) -> bool:
+        """Account for more of a message; one that there is no room for is refused here."""
         if not self.engine.memory.reserve(size):
+            self._reject(503, "too much is held")
+            return False
+        if not self.engine.clients.hold(self.client, size):
+            self.engine.memory.release(size)
+            self._reject(429, "too much is unfinished from this address")
             return False
         self.held_size += size
         self.message_size += size
         return True
 
+    def _end_message(self) -> None:
+        """The message is unfinished no more, whatever becomes of it."""
+        self.engine.clients.free(self.client, self.message_size)
+
     def on_message_complete(self) -> None:
         if self.deaf:
             return
         if self.parser.should_upgrade():
             self._reject(400, "upgrades are not known here")
             return
-        self.asked = True
+        self.messages += 1
         keep_alive = self.parser.should_keep_alive()
         if self.target == READY_TARGET:
             self.waiting.append(Ready(keep_alive))
@@ -341,8 +363,8 @@
                 problem.keep_alive = keep_alive
                 self.waiting.append(problem)
                 self._release(self.message_size)
+        self._end_message()
         self._begin()
-
         if len(self.waiting) >= WAITING_MOST and self.transport is not None and not self.paused:
             self.paused = True
             self.transport.pause_reading()
@@ -358,7 +380,9 @@
         if not self.deaf:
             self.deaf = True
             self.begun = False
+            self._end_message()
             self._release(self.message_size)
+            self.message_size = 0
             self.body.clear()
             self.waiting.append(RequestError(code, text))
 
@@ -370,14 +394,12 @@
         try:
             while self.waiting and self.current is None and not self.unread and not self.closed:
                 item = self.waiting.popleft()
-                if type(item) is Call and self.engine.claim(item):
+                if type(item) is Call and (refusal := self.engine.admit(self, item)) is None:
                     self.current = item
                     self.engine.take(self, item)
                 elif type(item) is Call:
                     self._release(item.size)
-                    self._respond(
-                        409, b"", b"a request with this id is open or has just been\n", item.keep_alive
-                    )
+                    self._respond(*refusal, item.keep_alive)
                 elif type(item) is Ready:
                     ok = not self.engine.draining
                     text = b"ready\n" if ok else b"draining\n"
@@ -430,5 +452,6 @@
             self.transport.write(data)
 
     def close(self) -> None:
+        self.leaving = True
         if self.transport is not None:
             self.transport.abort()
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -8,14 +8,16 @@
 
 import asyncio
 import socket
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from time import monotonic
 
 import httptools
 
+from ..admission.budget import Allowance
 from ..interface import State, Status
-from .limits import Descriptors, Memory
+from .limits import Memory
 
 HEADERS_MOST = 32 * 1024
 STALL_MOST = 0.5  # seconds from an answer's first byte to its last: servers write it when it is ready
@@ -99,8 +101,8 @@
         self.since_ms = since_ms
         self.generation = 0  # grows with each restart or move: connections of an earlier one are not kept
         self.takes_new = True
-        self.idle: list[Connection] = []  # the most recently used last
-        self.opening: dict[Exchange, None] = {}  # those that wait for a connection, in their order
+        self.idle: OrderedDict[Connection, None] = OrderedDict()  # the most recently used last
+        self.opening: dict[Exchange, Connection] = {}  # those that wait for one that is made, in order
 
 
 class Connection(asyncio.Protocol):
@@ -320,18 +322,20 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        descriptors: Descriptors,
+        allowance: Allowance,
         memory: Memory,
         connect_timeout: float,
         idle_most: float,
     ) -> None:
         self.loop = loop
-        self.descriptors = descriptors
+        self.allowance = allowance
         self.memory = memory
         self.connect_timeout = connect_timeout
         self.idle_most = idle_most * IDLE_PART
         self.targets: dict[int, Target] = {}
         self.connections: set[Connection] = set()
+        self.idle: OrderedDict[Connection, None] = OrderedDict()  # of all targets, the longest idle first
+        self.unneeded: dict[Connection, Exchange] = {}  # being made for one that has taken another
 
     # The list
 
@@ -368,28 +372,29 @@
             return
         exchange.timer = self.loop.call_later(max(timeout, 0.001), exchange.give_up, Status.TIMEOUT)
         while target.idle:
-            connection = target.idle.pop()
+            connection = self._take_idle(target)
             if connection.send(exchange):
                 return
             connection.close()  # found dead before anything was written: no attempt was made
         self._open(target, exchange)
 
     def _open(self, target: Target, exchange: Exchange) -> None:
-        if self.descriptors.full and not self.close_oldest():
+        # Requests have their descriptor set aside, so one of those that are not in use can always go.
+        if self.allowance.full and not self._make_room():
             # The own lack says nothing of the server, which must not be held to have failed.
             self.loop.call_soon(exchange.end, Status.MOOT)
             return
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         except OSError:  # out of descriptors in spite of the count: one request less, not the process
-            self.close_oldest()
+            self._make_room()
             self.loop.call_soon(exchange.end, Status.MOOT)
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(self, target, sock)
         self.connections.add(connection)
-        self.descriptors.held += 1
-        target.opening[exchange] = None
+        self.allowance.held += 1
+        target.opening[exchange] = connection
         exchange.opening = self.loop.create_task(self._connect(target, exchange, connection))
 
     async def _connect(self, target: Target, exchange: Exchange, connection: Connection) -> None:
@@ -399,6 +404,7 @@
                 await self.loop.sock_connect(sock, target.address)
         except (OSError, asyncio.CancelledError):
             target.opening.pop(exchange, None)
+            self.unneeded.pop(connection, None)
             connection.close()
             sock.close()
             if exchange.connection is None:  # else it took one that came free meanwhile
@@ -406,6 +412,7 @@
             return
         # No cancelling from here on: the loop is taking the descriptor over, and it would be closed twice.
         exchange.opening = None
+        self.unneeded.pop(connection, None)
         try:
             await self.loop.create_connection(lambda: connection, sock=sock)
         except OSError:
@@ -429,19 +436,22 @@
         if target.opening:
             exchange = next(iter(target.opening))
             if connection.send(exchange):
-                del target.opening[exchange]
+                made = target.opening.pop(exchange)
+                if exchange.opening is not None:
+                    self.unneeded[made] = exchange
             else:
                 connection.close()
             return
         connection.idle_since = monotonic()
-        target.idle.append(connection)
+        target.idle[connection] = None
+        self.idle[connection] = None
 
     def dropped(self, connection: Connection) -> None:
         """A connection closes: from here on it is neither counted nor used."""
         self.connections.discard(connection)
-        self.descriptors.held -= 1
-        if connection in connection.target.idle:
-            connection.target.idle.remove(connection)
+        self.allowance.held -= 1
+        connection.target.idle.pop(connection, None)
+        self.idle.pop(connection, None)
 
     def close_idle(self, server: int) -> None:
         target = self.targets.get(server)
@@ -449,20 +459,36 @@
             for connection in list(target.idle):
                 connection.close()
 
-    def close_oldest(self) -> bool:
-        """Make room: close the connection that has stood idle longest."""
-        oldest = [target.idle[0] for target in self.targets.values() if target.idle]
-        if not oldest:
-            return False
-        min(oldest, key=lambda connection: connection.idle_since).close()
-        return True
+    def _take_idle(self, target: Target) -> Connection:
+        """The most recently used: it is the least likely to have been closed meanwhile."""
+        connection, _ = target.idle.popitem()
+        del self.idle[connection]
+        return connection
+
+    def _make_room(self) -> bool:
+        """Close a connection that nobody needs: the one idle for longest, or one still being made."""
+        if self.idle:
+            next(iter(self.idle)).close()
+            return True
+        if self.unneeded:
+            connection, exchange = self.unneeded.popitem()
+            if exchange.opening is not None:
+                exchange.opening.cancel()
+            connection.close()
+            return True
+        return False
+
+    def shrink(self) -> None:
+        """Close what is not in use until a smaller allowance is kept."""
+        while self.allowance.held > self.allowance.most and self._make_room():
+            pass
 
     def sweep(self) -> None:
         """Close what has stood idle well before the server does, or a request would meet its end."""
         before = monotonic() - self.idle_most
         for target in self.targets.values():
-            while target.idle and target.idle[0].idle_since < before:
-                target.idle[0].close()
+            while target.idle and (first := next(iter(target.idle))).idle_since < before:
+                first.close()
 
     def close(self) -> None:
         for target in self.targets.values():
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -10,7 +10,6 @@
 import uvloop
 
 from dykefold.__main__ import read_config, start_engine
-from dykefold.net.front import Front
 
 HOST = "127.0.0.1"
 MS = 1_000_000
@@ -195,15 +194,12 @@
         self.port = 0
 
     async def __aenter__(self):
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(lambda: Front(self.engine), HOST, 0)
-        self.engine.server = server
-        self.port = server.sockets[0].getsockname()[1]
+        _, self.port = self.engine.listen(socket.create_server((HOST, 0))).address
         return self
 
     async def __aexit__(self, *_):
-        if self.engine.server is not None:
-            self.engine.server.close()
+        if self.engine.listener is not None:
+            self.engine.listener.close()
         self.engine.close()
 
 
--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -22,8 +22,10 @@
     until,
 )
 
-from dykefold.net import clients, engine, front
-from dykefold.net.limits import MB, Descriptors, Memory
+from dykefold.admission import rules
+from dykefold.admission.budget import Budget
+from dykefold.net import engine, front
+from dykefold.net.limits import MB, Memory
 from dykefold.net.peers import Peers
 
 ID = b"X-Request-Id: ab\r\n"
@@ -79,7 +81,9 @@
             writer.close()
             assert [got.headers["x-request-id"] for got in fake.got] == ["before"]
             await until(lambda: not sidecar.engine.clients.all)
-            assert sidecar.engine.memory.held == 0 and not sidecar.engine.descriptors.held - fake.connections
+            assert (
+                sidecar.engine.memory.held == 0 and sidecar.engine.budget.upstreams.held == fake.connections
+            )
 
     run(play())
 
@@ -206,7 +210,7 @@
         async with Sidecar(tmp_path / "c", data) as sidecar:
             idle = [await asyncio.open_connection(HOST, sidecar.port) for _ in range(30)]
             assert (await ask(sidecar.port, message("order", "ab"))).code == 200
-            assert sidecar.engine.descriptors.held <= sidecar.engine.descriptors.limit + 2
+            assert len(sidecar.engine.clients.all) <= sidecar.engine.budget.clients + 2
             assert await idle[0][0].read() == b""
             for _, writer in idle:
                 writer.close()
@@ -230,7 +234,7 @@
             sock.setblocking(False)
             await loop.sock_connect(sock, (HOST, sidecar.port))
             await until(lambda: sidecar.engine.clients.all)
-            (client,) = sidecar.engine.clients.all
+            (client,) = sidecar.engine.clients.all.values()
             sent = 0
             while not client.unread:  # until the kernel holds no more for it
                 await loop.sock_sendall(sock, message("lookup", f"id{sent}"))
@@ -282,9 +286,9 @@
 
 def test_the_share_of_clients_and_the_memory_follow_the_configuration():
     for sockets in (256, 384, 1024):
-        shares = Descriptors(sockets)
-        assert shares.clients > sockets / 3  # what clients hold at most for requests
-        assert shares.limit - shares.clients > sockets / 3
+        budget = Budget(sockets)
+        assert budget.clients > budget.usable == sockets // 3  # what clients hold at most for requests
+        assert budget.upstreams.most > sockets / 3
     assert Memory(32 * MB).most <= 4 * MB and Memory(192 * MB).most == Memory.MOST
 
 
@@ -301,11 +305,11 @@
                     writer.write(message("lookup", f"id{number}-{place}"))
                     assert (await read_message(reader)).code == 200
                 flood = [await asyncio.open_connection(HOST, sidecar.port) for _ in range(60)]
-                await until(lambda: len(sidecar.engine.clients.all) == sidecar.engine.descriptors.clients)
+                await until(lambda: len(sidecar.engine.clients.all) == sidecar.engine.budget.clients)
                 for _, writer in flood:
                     writer.close()
                 await until(lambda: len(sidecar.engine.clients.all) == len(usual))
-            assert fake.connections == 1 and not sidecar.engine.descriptors.full
+            assert fake.connections == 1 and not sidecar.engine.budget.upstreams.full
             for _, writer in usual:
                 writer.close()
 
@@ -313,8 +317,8 @@
 
 
 def test_clients_that_never_end_a_message_are_answered_and_let_go(tmp_path, monkeypatch):
-    monkeypatch.setattr(clients, "START_MOST", 0.3)
-    monkeypatch.setattr(clients, "IDLE_MOST", 60.0)
+    monkeypatch.setattr(rules, "MESSAGE_MOST_S", 0.3)
+    monkeypatch.setattr(rules, "IDLE_MOST_S", 60.0)
 
     async def play():
         async def act(message, reader, writer):
@@ -342,7 +346,7 @@
 
 
 def test_clients_that_ask_once_and_stay_are_let_go(tmp_path, monkeypatch):
-    monkeypatch.setattr(clients, "IDLE_MOST", 0.2)
+    monkeypatch.setattr(rules, "IDLE_MOST_S", 0.2)
 
     async def play():
         fake = await Fake(answer_ok).start()
@@ -353,7 +357,9 @@
             assert await reader.read() == b""
             writer.close()
             await until(lambda: not sidecar.engine.clients.all)
-            assert not sidecar.engine.clients.idle and not sidecar.engine.clients.waited
+            assert (
+                not sidecar.engine.clients.admission.count and not sidecar.engine.clients.admission.unfinished
+            )
 
     run(play())
 
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -10,16 +10,17 @@
 import pytest
 from net_helpers import HOST, WAIT, Fake, answer_ok, reply, run, silent, until
 
+from dykefold.admission.budget import Allowance
 from dykefold.interface import State, Status
 from dykefold.net import upstream
-from dykefold.net.limits import MB, Descriptors, Memory
+from dykefold.net.limits import MB, Memory
 from dykefold.net.upstream import Exchange, Upstreams
 
 PAYLOAD = b"GET /lookup HTTP/1.1\r\nX-Request-Id: ab\r\n\r\n"
 
 
 def make(address, connect_timeout=5.0, limit=1024, idle=60.0):
-    pool = Upstreams(asyncio.get_running_loop(), Descriptors(limit), Memory(192 * MB), connect_timeout, idle)
+    pool = Upstreams(asyncio.get_running_loop(), Allowance(limit), Memory(192 * MB), connect_timeout, idle)
     pool.update(1, address, 0, State.READY)
     return pool
 
@@ -96,7 +97,7 @@
         assert len(pool.connections) == 1
         go.set()
         await until(lambda: not pool.connections)
-        assert not pool.targets[1].idle and not pool.descriptors.held
+        assert not pool.targets[1].idle and not pool.allowance.held
 
     run(play())
 
@@ -122,11 +123,11 @@
         for end in ends:
             assert (await end)[0] is Status.OK
         await until(lambda: len(pool.targets[1].idle) == 3)  # one may have taken another's, its own comes yet
-        latest = pool.targets[1].idle[-1]
+        latest = next(reversed(pool.targets[1].idle))
         _, end = start(pool)
         assert latest.exchange is not None
         await end
-        pool.targets[1].idle[0].idle_since -= 60.0 * upstream.IDLE_PART
+        next(iter(pool.targets[1].idle)).idle_since -= 60.0 * upstream.IDLE_PART
         pool.sweep()
         assert len(pool.targets[1].idle) == 2 and latest in pool.targets[1].idle
         pool.close()
@@ -139,7 +140,7 @@
         server, fill = full_listener()
         pool = make(server.getsockname(), connect_timeout=0.1)
         assert await start(pool)[1] == (Status.CONNECT_FAILED, None)
-        assert not pool.connections and not pool.targets[1].opening and not pool.descriptors.held
+        assert not pool.connections and not pool.targets[1].opening and not pool.allowance.held
         for sock in (server, *fill):
             sock.close()
 
@@ -271,7 +272,7 @@
 def test_at_the_cap_the_longest_idle_connection_makes_room():
     async def play():
         fake, other = await Fake(answer_ok).start(), await Fake(silent).start()
-        pool = make((HOST, fake.port), limit=Descriptors.RESERVE + 8)
+        pool = make((HOST, fake.port), limit=8)
         pool.update(2, (HOST, other.port), 0, State.READY)
         ends = [start(pool)[1] for _ in range(8)]
         for end in ends:
@@ -279,7 +280,7 @@
         await until(lambda: len(pool.targets[1].idle) == 8)
         waits = [start(pool, 2)[1] for _ in range(8)]
         await until(lambda: len(other.got) == 8)
-        assert not pool.targets[1].idle and pool.descriptors.held == 8
+        assert not pool.targets[1].idle and pool.allowance.held == 8
         assert await start(pool, 2)[1] == (Status.MOOT, None)
         assert not any(end.done() for end in waits)
         pool.close()
