--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements side by side in one run; none is a test."""
--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -49,6 +49,7 @@
     transport: Transport
     names: Names
     known: News
+    caps: Caps
 
 
 def _system_limit() -> int:
@@ -57,9 +58,11 @@
     return SOCKETS if soft == resource.RLIM_INFINITY else soft
 
 
-def read_config(path: str | None) -> Config:
+def read_config(path: str | None, service: str | None = None) -> Config:
+    """Read the platform's configuration and, where one is named, the operator's file."""
     if not path:
         raise ConfigError("GW_CONFIG is not set")
+    caps = _read_caps(service)
     try:
         with open(path, encoding="utf-8") as file:
             data = json.load(file)
@@ -81,6 +84,7 @@
             transport=transport,
             names=names,
             known=read_news(data["known"], names),
+            caps=caps,
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from None
@@ -90,6 +94,17 @@
         raise ConfigError(f"{path}: {' '.join(str(error).split())}") from None
 
 
+def _read_caps(service: str | None) -> Caps:
+    if not service:
+        return Caps()
+    from .operators import ServiceError, read_service  # not part of the platform's sidecar
+
+    try:
+        return read_service(service)
+    except ServiceError as error:
+        raise ConfigError("\n".join(error.lines())) from None
+
+
 def start_engine(loop: asyncio.AbstractEventLoop, config: Config) -> Engine:
     return Engine(
         loop,
@@ -101,26 +116,27 @@
         config.discovery,
         config.names,
         config.known,
+        config.caps,
     )
 
 
-def reload(engine: Engine, path: str | None) -> None:
-    """Reread the configuration: discovery may have moved. What can't be read changes nothing."""
+def reload(engine: Engine, path: str | None, service: str | None = None) -> None:
+    """Reread the configuration: discovery and limits may differ. What can't be read changes nothing."""
     try:
-        config = read_config(path)
+        config = read_config(path, service)
     except ConfigError as error:
         log.warning("the configuration stays as it was: %s", error)
         return
-    engine.limit(config.sockets, Caps())
+    engine.limit(config.sockets, config.caps)
     engine.discovery.turn(config.discovery)
 
 
-async def run(config: Config, path: str | None) -> None:
+async def run(config: Config, path: str | None, service: str | None) -> None:
     loop = asyncio.get_running_loop()
     engine = start_engine(loop, config)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, engine.drain)
-    loop.add_signal_handler(signal.SIGHUP, reload, engine, path)
+    loop.add_signal_handler(signal.SIGHUP, reload, engine, path, service)
     try:
         if config.peer_listen is not None:
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.on_peer)
@@ -139,15 +155,31 @@
     engine.close()
 
 
+def check(path: str) -> int:
+    """Check an operator's file: all that is wrong with it, and exit code 2 if anything is."""
+    try:
+        _read_caps(path)
+    except ConfigError as error:
+        print(error, file=sys.stderr)
+        return 2
+    print(f"{path}: good")
+    return 0
+
+
 def main() -> int:
+    if len(sys.argv) == 3 and sys.argv[1] == "check":
+        return check(sys.argv[2])
+    if len(sys.argv) > 1:
+        print("usage: python -m dykefold [check FILE]", file=sys.stderr)
+        return 2
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     # Guards the start and the end, when no loop listens: the signal's default would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    path = os.environ.get("GW_CONFIG")
+    path, service = os.environ.get("GW_CONFIG"), os.environ.get("DYKEFOLD_SERVICE")
     try:
-        config = read_config(path)
+        config = read_config(path, service)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(run(config, path))
+            runner.run(run(config, path, service))
             signal.signal(signal.SIGHUP, signal.SIG_IGN)
     except ConfigError as error:
         print(f"dykefold: {error}", file=sys.stderr)
--- a/dykefold/admission/listener.py
+++ b/dykefold/admission/listener.py
@@ -84,7 +84,7 @@
                 return
             client, reason = self.clients.admit(peer[0])
             if client is None:
-                _refuse(sock, reason or Reason.FULL)
+                _refuse(sock, Reason.FULL if reason is None else reason)
                 continue
             sock.setblocking(False)
             guest = self.make(client)
--- a/dykefold/admission/rules.py
+++ b/dykefold/admission/rules.py
@@ -21,7 +21,7 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass
-from enum import IntEnum
+from enum import Enum, IntEnum, auto
 from itertools import takewhile
 
 from .addresses import Address, Addresses, Caps, Key
@@ -58,15 +58,15 @@
 IDLE = (State.ONCE, State.KEPT)
 
 
-class Reason(IntEnum):
+class Reason(Enum):
     """Which cap stands against a connection or a request; the edge puts it into words."""
 
-    CONNECTIONS = 0
-    NEW_CONNECTIONS = 1
-    FULL = 2
-    OPEN_REQUESTS = 3
-    UNFINISHED_BYTES = 4
-    REQUESTS = 5
+    CONNECTIONS = auto()
+    NEW_CONNECTIONS = auto()
+    FULL = auto()
+    OPEN_REQUESTS = auto()
+    UNFINISHED_BYTES = auto()
+    REQUESTS = auto()
 
 
 class Client:
@@ -146,14 +146,16 @@
                 self.addresses.released(address)  # or its use of the cap would be forgotten
             return None, Reason.NEW_CONNECTIONS, None
         victim = None
-        strangers = self.share.connections - self.caps.reserve
+        strangers = self.share.connections - self._reserve()
         if self.count >= self.share.connections or (
             not address.known and self.sides[False].count >= strangers
         ):
             victim = self._to_leave(address.known, now_s)
-            if victim is None:
-                return None, Reason.FULL, None
-            self.leave(victim)
+            over = self.count > self.share.connections  # the share has become smaller: one is not enough
+            if victim is not None:
+                self.leave(victim)
+            if victim is None or over:
+                return None, Reason.FULL, victim
         client = Client(address, host)
         self.addresses.entered(address)
         self.sides[client.known].count += 1
@@ -161,6 +163,10 @@
         self.unfinished[client] = now_s
         return client, None, victim
 
+    def _reserve(self) -> int:
+        """The reserve, but never so much that a stranger could not be let in when nobody else is there."""
+        return min(self.caps.reserve, self.share.connections - 1)
+
     def leave(self, client: Client) -> None:
         """A connection has closed or is about to be; again it does nothing."""
         if client.state is None:
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -70,6 +70,10 @@
 OVERDUE_AT_LEAST = 2.0  # class means
 OVERDUE_AT_MOST = 0.5  # of the time left: a repeat needs as much as the first try had
 
+# Lost answers: the server did the work, or not, but nothing will come.
+LOST_OVERTAKEN = 3  # answers to attempts sent later, as duplicate acknowledgements tell TCP (RFC 5681, 3.2)
+LOST_AT_LEAST = 2.0  # class means: on two cores short work overtakes long work that is not lost
+
 # Health.
 STRIKES = 2.0  # consecutive failures without a sign of life in between
 HINT_STRIKE = 0.5  # an overdue attempt counts so much: four of them eject
@@ -177,8 +181,9 @@
     def __init__(self, entry: Endpoint, rank: float) -> None:
         self.id = entry.server
         self.rank = rank  # by the own seed: each sidecar samples from others
-        self.out: dict[tuple[int, int], tuple[int, int]] = {}  # (request, attempt) -> (sent, class)
+        self.out: dict[tuple[int, int], list[int]] = {}  # (request, attempt) -> [sent, class, overtaken by]
         self.lost: set[tuple[int, int]] = set()  # of these, whose answers are not waited for any more
+        self.pressed: set[tuple[int, int]] = set()  # ... and those counted as pressure while they wait
         self.listed = True
         self.restart(entry)
 
@@ -410,9 +415,11 @@
         if sent is not None:
             lost = (event.id, event.attempt) in server.lost
             server.lost.discard((event.id, event.attempt))
+            pressed = (event.id, event.attempt) in server.pressed
+            server.pressed.discard((event.id, event.attempt))
             if not lost and not server.ejected:
                 self.inflight -= 1
-            self._learn(server, sent[0], sent[1], event, lost)
+            self._learn(server, sent[0], sent[1], event, lost, pressed)
         req = self.open.get(event.id)
         if req is None:
             return
@@ -512,7 +519,7 @@
         rel = server.rel if server.samples else mean
         rel = mean + (rel - mean) * 0.5 ** ((self.now - server.heard) / forget)
         if server.out:
-            _, cls = next(iter(server.out.values()))
+            cls = next(iter(server.out.values()))[1]
             rel = max(rel, self._silence(server) / self.base[cls])
         return rel
 
@@ -666,7 +673,7 @@
         req.attempts.append([server, now, OUT])
         req.charged = False
         overdue = self._overdue_after(server, req.cls, left)
-        server.out[(req.id, number)] = (now, req.cls)
+        server.out[(req.id, number)] = [now, req.cls, 0]
         if server.ejected:
             server.trial_out = True
         else:
@@ -759,7 +766,7 @@
 
     # Health
 
-    def _learn(self, server: Server, sent: int, cls: int, event: Outcome, lost: bool) -> None:
+    def _learn(self, server: Server, sent: int, cls: int, event: Outcome, lost: bool, pressed: bool) -> None:
         """Take an attempt's end into the estimates of its server and class."""
         status = event.status
         took = event.duration_ns
@@ -773,6 +780,8 @@
             if server.cold_at:
                 server.cold_tokens += PACE_EARN * self._cost(cls)  # what it has answered it can do again
             self.done_units += self._unit(cls)
+            if self.now - self.born < self.shortest and self.pressure <= 1.0:
+                self.limit += 1.0  # slow start (RFC 5681, 3.1): twice as much with each turn of the flight
             self._press(server, cls, took)
             weight = max(CLASS_SMOOTHING, 1.0 / (self.seen[cls] + 1))
             self.seen[cls] += 1
@@ -785,6 +794,7 @@
                 self._readmit(server)
             self._sample(server, took / base)
             self._heed(server, event.report, took / base)
+            self._overtake(server, sent)
         elif status is Status.FULL:
             self._sample(server, max(FULL_SAMPLE, server.rel))
             server.last_ok = self.now  # busy, but alive
@@ -794,7 +804,7 @@
                 self._sample(server, took / base)
         else:
             self._sample(server, max(took / base, FAILURE_SAMPLE, server.rel))
-            if status is Status.TIMEOUT and server.last_ok > sent and not lost:
+            if status is Status.TIMEOUT and server.last_ok > sent and not (lost or pressed):
                 self._press(server, cls, took)
             if status is not Status.TIMEOUT:
                 self._strike(server, 1.0, EJECT_SHARE)
@@ -825,11 +835,14 @@
         if state != OUT:
             return
         silent = server.last_ok <= sent
+        key = (req.id, number)
         if not first:
             if not silent:
-                self._write_off(server, (req.id, number))
+                self._write_off(server, key)
         elif not silent:
-            self._press(server, req.cls, self.now - sent)  # late news is no use: count it while it waits
+            if key not in server.lost:
+                self._press(server, req.cls, self.now - sent)  # late news is no use: count it while it waits
+                server.pressed.add(key)
         else:  # one long piece of work must not condemn a server by itself
             self._strike(server, HINT_STRIKE, EJECT_SHARE_ON_SILENCE)
         if server.ejected:
@@ -838,6 +851,27 @@
         if again < req.deadline:
             self._at(again, OVERDUE, req.id, number + AGAIN)
 
+    def _overtake(self, server: Server, sent: int) -> None:
+        """An answer has overtaken the attempts sent before its own; after a few, theirs count as lost.
+
+        Guards against a network or servers that drop some answers and give the others in time: taken for
+        late ones, a tenth of lost answers halved the limit, and the lookups among them waited for nothing.
+        """
+        gone = []
+        for key, out in server.out.items():
+            if out[0] >= sent:
+                break
+            out[2] += 1
+            if out[2] >= LOST_OVERTAKEN and key not in server.lost:
+                usual = self.base[out[1]] * max(server.rel, 1.0)
+                if self.now - out[0] >= LOST_AT_LEAST * usual:
+                    gone.append(key)
+        for key in gone:
+            self._write_off(server, key)
+            req = self.open.get(key[0])
+            if req is not None:
+                self._rescue(req, key[1])
+
     def _write_off(self, server: Server, attempt: tuple[int, int]) -> None:
         """Take an attempt that is overdue twice out of what is in flight: its answer is most likely lost.
 
@@ -1040,10 +1074,12 @@
         return False
 
     def _correct_limit(self) -> None:
+        first = not self.born
         self.born = self.born or self.now
         passed = max(self.now - self.limit_at, 1)
         self.limit_at = self.now
-        weight = min(passed / self.shortest, 1.0)
+        # A mean over a whole deadline would tell a restarted sidecar that hardly anything is answered.
+        weight = min(passed / max(min(self.now - self.born, self.shortest), 1), 1.0)
         self.wanted_inflight += weight * (self.done_units / passed - self.wanted_inflight)
         self.done_units = 0.0
         self.inflight_lately = max(self.inflight, self.inflight_lately * LATELY_FADE)
@@ -1059,6 +1095,7 @@
             self.pressed = False
             if self.now - self.born < self.shortest:
                 most = LIMIT_SLACK * (self.inflight_lately + self.ready_count)  # no answers to go by yet
+                most = most if first else max(most, self.limit)
             else:
                 # A limit that follows what is in flight lets a surge in before the first late answer.
                 spread = LIMIT_IDLE * self.ready_count / self.settings.fleet_size
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -418,6 +418,8 @@
     def disconnected(self, front: Front, call: Call | None) -> None:
         """A client has gone. Its request is over; what is out for it the module may call off."""
         self.clients.remove(front.client)
+        if self.listener is not None:
+            self.listener.released()
         held = self.held.get(call.ticket) if call is not None else None
         if held is not None:
             self._settle(held)
--- /dev/null
+++ b/standins/parts.py
@@ -0,0 +1,38 @@
+"""A parts node that answers every request at once: `python -m standins.parts [COUNT]`, one port each.
+
+It prints its ports in one line and runs until its standard input ends, so that it never outlives who
+started it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import httptools
+import uvloop
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\n" + b"p" * 64
+
+
+class Node(asyncio.Protocol):
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+        self.parser = httptools.HttpRequestParser(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def on_message_complete(self) -> None:
+        self.transport.write(ANSWER)  # type: ignore[attr-defined]
+
+
+async def serve(count: int) -> None:
+    loop = asyncio.get_running_loop()
+    servers = [await loop.create_server(Node, "127.0.0.1", 0) for _ in range(count)]
+    print(*(server.sockets[0].getsockname()[1] for server in servers), flush=True)
+    await loop.run_in_executor(None, sys.stdin.read)
+
+
+if __name__ == "__main__":
+    uvloop.run(serve(int(sys.argv[1]) if len(sys.argv) > 1 else 1))
--- /dev/null
+++ b/standins/sidecar.py
@@ -0,0 +1,105 @@
+"""Processes for benchmarks: parts nodes and the real sidecar before them, from this tree or another one."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import resource
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+MS = 1_000_000
+
+
+@dataclass(slots=True)
+class Running:
+    port: int
+    process: subprocess.Popen[bytes]
+
+    def rss_bytes(self) -> int:
+        pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        return pages * resource.getpagesize()
+
+    def cpu_s(self) -> float:
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+@contextlib.contextmanager
+def parts_nodes(count: int) -> Iterator[list[int]]:
+    """So many parts nodes in one process; their ports."""
+    command = [sys.executable, "-m", "standins.parts", str(count)]
+    with subprocess.Popen(command, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE) as process:
+        assert process.stdout is not None
+        yield [int(port) for port in process.stdout.readline().split()]
+        assert process.stdin is not None
+        process.stdin.close()
+
+
+@contextlib.contextmanager
+def sidecar(
+    ports: list[int], sockets: int = 1024, tree: Path = ROOT, service: Path | None = None
+) -> Iterator[Running]:
+    """The sidecar of a source tree in front of these ports of 127.0.0.1."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        path.write_text(json.dumps(config(ports, sockets)))
+        environment = {**os.environ, "GW_CONFIG": str(path)}
+        if service is not None:
+            environment["DYKEFOLD_SERVICE"] = str(service)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "dykefold"], cwd=tree, env=environment, stderr=subprocess.PIPE
+        )
+        assert process.stderr is not None
+        try:
+            line = b"-"
+            while line:
+                line = process.stderr.readline()
+                if match := re.search(rb"listens at [\d.]+:(\d+)", line):
+                    os.set_blocking(process.stderr.fileno(), False)
+                    yield Running(int(match[1]), process)
+                    return
+            raise RuntimeError("the sidecar ended before it listened")
+        finally:
+            process.kill()
+            process.wait()
+
+
+def config(ports: list[int], sockets: int) -> dict:
+    """What the platform would tell it: three classes, one zone, no discovery."""
+    deadlines = {
+        "lookup": (3000, 750, "pure"),
+        "hold": (2000, 600, "token"),
+        "order": (4000, 1200, "side_effect"),
+    }
+    entries = [
+        {"name": f"s{port}", "address": f"127.0.0.1:{port}", "zone": "a", "type": "std", "group": 1,
+         "status": "SERVING", "weight": 1.0, "since_ms": 0}
+        for port in ports
+    ]  # fmt: skip
+    return {
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "peers": [],
+        "known": {"index": 1, "snapshot": True, "endpoints": entries},
+        "settings": {
+            "accounts": [], "dcs": ["a"], "kinds": ["std"], "my-zone": 0, "discovery": "ask", "fleet-size": 1,
+            "ceilings": {"cancel": True, "conn-idle-ns": 60_000 * MS, "connect-timeout-ns": 250 * MS,
+                         "max-retry-after-ns": 2000 * MS, "retry-after": True, "peers": False,
+                         "second-copies": False, "send-cap": 3},
+            "classes": [
+                {"name": name, "deadline-ns": deadline * MS, "objective-ns": aim * MS, "repeat": repeat,
+                 "key-scope": "cell", "window-ns": 2000 * MS, "points": 1.0, "late-value": 0.25,
+                 "stream": False}
+                for name, (deadline, aim, repeat) in deadlines.items()
+            ],
+            "rules": {"must-ask-in-ns": 10_000 * MS, "drain-grace-ns": 500 * MS},
+            "telemetry": {"columns": [], "how": "silent"}, "tick-ns": 5 * MS,
+        },
+    }  # fmt: skip
--- /dev/null
+++ b/tests/admission/test_listener.py
@@ -0,0 +1,338 @@
+"""The accept edge: refusals, and calm when the process or the system has no descriptor left."""
+
+import asyncio
+import errno
+import json
+import os
+import socket
+
+import pytest
+from net_helpers import (
+    HOST,
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    read_message,
+    run,
+    until,
+)
+
+from dykefold import __main__ as program
+from dykefold.admission import listener
+from dykefold.admission.addresses import Caps
+from dykefold.net import upstream
+
+
+class Starving(socket.socket):
+    """A listening socket whose accept fails so many times with `error`."""
+
+    error = errno.EMFILE
+    times = 0
+    calls = 0
+
+    def accept(self):
+        self.calls += 1
+        if self.times:
+            self.times -= 1
+            raise OSError(self.error, os.strerror(self.error))
+        return super().accept()
+
+
+class Starved(Sidecar):
+    async def __aenter__(self):
+        self.sock = Starving(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.bind((HOST, 0))
+        self.sock.listen(64)
+        _, self.port = self.engine.listen(self.sock).address
+        return self
+
+
+def start(tmp_path, fake, kind=Sidecar, **more):
+    return kind(tmp_path / "c", config(news(1, entry("s1", fake.address)), **more))
+
+
+async def connect(port, host="127.0.0.1"):
+    return await asyncio.open_connection(HOST, port, local_addr=(host, 0))
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+def test_without_descriptors_it_pauses_and_comes_back(tmp_path, error):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with start(tmp_path, fake, Starved) as sidecar:
+            sidecar.sock.error, sidecar.sock.times = error, 10**9
+            reader, writer = await connect(sidecar.port)
+            writer.write(message("order", "waits"))
+            await until(lambda: sidecar.sock.calls >= 4)
+            began, calls = asyncio.get_running_loop().time(), sidecar.sock.calls
+            await until(lambda: sidecar.sock.calls >= calls + 6)
+            # A loop that spins would be there in less than a millisecond.
+            assert asyncio.get_running_loop().time() - began > listener.PAUSE_S
+            sidecar.sock.times = 0
+            assert (await read_message(reader)).code == 200
+            writer.close()
+
+    run(play())
+
+
+def test_a_release_ends_the_pause_at_once(tmp_path, monkeypatch):
+    monkeypatch.setattr(listener, "PAUSE_S", 3600.0)
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with start(tmp_path, fake, Starved) as sidecar:
+            idle, idle_writer = await connect(sidecar.port)
+            idle_writer.write(message("lookup", "first"))
+            assert (await read_message(idle)).code == 200
+            sidecar.sock.times = 1
+            reader, writer = await connect(sidecar.port)
+            assert await idle.read() == b""  # let go for the newcomer; its end lets the listener go on
+            writer.write(message("order", "second"))
+            assert (await read_message(reader)).code == 200
+            writer.close()
+            idle_writer.close()
+
+    run(play())
+
+
+def test_who_can_not_be_taken_hears_it_by_the_spare_descriptor(tmp_path):
+    async def play():
+        async def act(got, reader, writer):
+            await go.wait()
+            await answer_ok(got, reader, writer)
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        async with start(tmp_path, fake) as sidecar:
+            reader, writer = await connect(sidecar.port)
+            writer.write(message("order", "taken"))
+            await until(lambda: fake.got)
+            # Nobody may leave now. Files fill the rest, as a leak elsewhere would.
+            fillers = []
+            before = set(os.listdir("/proc/self/fd"))
+            limit = max(map(int, before)) + 2
+            soft, hard = program.resource.getrlimit(program.resource.RLIMIT_NOFILE)
+            client = socket.socket()
+            program.resource.setrlimit(program.resource.RLIMIT_NOFILE, (limit, hard))
+            try:
+                while True:
+                    fillers.append(os.open(os.devnull, os.O_RDONLY))
+            except OSError as error:
+                assert error.errno == errno.EMFILE
+            try:
+                client.settimeout(5.0)
+                await asyncio.get_running_loop().run_in_executor(None, client.connect, (HOST, sidecar.port))
+                answer = await asyncio.get_running_loop().run_in_executor(None, client.recv, 4096)
+            finally:
+                for filler in fillers:
+                    os.close(filler)
+                program.resource.setrlimit(program.resource.RLIMIT_NOFILE, (soft, hard))
+                client.close()
+            assert answer.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 1\r\n" in answer
+            go.set()
+            assert (await read_message(reader)).code == 200  # what was taken is answered all the same
+            await until(lambda: sidecar.engine.listener.spare is not None)
+            assert (await ask(sidecar.port, message("order", "after"))).code == 200
+            writer.close()
+
+    run(play())
+
+
+def test_a_refused_connection_is_told_why_even_if_it_asked_already(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with start(tmp_path, fake) as sidecar:
+            sidecar.engine.limit(1024, Caps(connections=1))
+            _, first = await connect(sidecar.port, "127.9.0.1")
+            await until(lambda: sidecar.engine.clients.all)
+            reader, writer = await connect(sidecar.port, "127.9.0.1")
+            writer.write(message("order", "no"))
+            answer = await read_message(reader)
+            assert answer.code == 429 and answer.headers["retry-after"] == "1"
+            other, other_writer = await connect(sidecar.port, "127.9.0.2")
+            other_writer.write(message("order", "yes"))
+            assert (await read_message(other)).code == 200
+            assert [got.headers["x-request-id"] for got in fake.got] == ["yes"]
+            for each in (first, writer, other_writer):
+                each.close()
+
+    run(play())
+
+
+def test_caps_on_open_requests_refuse_at_once_and_let_the_client_come_back(tmp_path):
+    async def play():
+        async def act(got, reader, writer):
+            await go.wait()
+            await answer_ok(got, reader, writer)
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        async with start(tmp_path, fake) as sidecar:
+            sidecar.engine.limit(1024, Caps(open_requests=2))
+            pairs = [await connect(sidecar.port) for _ in range(3)]
+            for number in range(2):
+                pairs[number][1].write(message("order", f"o{number}"))
+            await until(lambda: len(fake.got) == 2)
+            pairs[2][1].write(message("order", "over"))
+            answer = await read_message(pairs[2][0])
+            assert answer.code == 429 and float(answer.headers["retry-after"]) > 0
+            go.set()
+            assert [(await read_message(reader)).code for reader, _ in pairs[:2]] == [200, 200]
+            pairs[2][1].write(message("order", "again"))
+            assert (await read_message(pairs[2][0])).code == 200
+            for _, writer in pairs:
+                writer.close()
+            await until(lambda: not sidecar.engine.clients.all)
+            assert not sidecar.engine.clients.admission.addresses.active
+
+    run(play())
+
+
+def test_half_messages_of_one_address_are_capped_together(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with start(tmp_path, fake) as sidecar:
+            sidecar.engine.limit(1024, Caps(unfinished_bytes=40_000))
+            whole = message("order", "a", "3000m", b"x" * 30_000)
+            half = await connect(sidecar.port)
+            half[1].write(whole[:-1])
+            address = await asyncio.wait_for(_address(sidecar), 5.0)
+            await until(lambda: address.unfinished_bytes > 29_000)
+            assert (await ask(sidecar.port, message("order", "b", "3000m", b"x" * 30_000))).code == 429
+            half[1].write(whole[-1:])
+            assert (await read_message(half[0])).code == 200
+            assert address.unfinished_bytes == 0
+            assert (await ask(sidecar.port, message("order", "c", "3000m", b"x" * 30_000))).code == 200
+            half[1].close()
+            await until(lambda: not sidecar.engine.clients.all)
+            assert not sidecar.engine.memory.held
+
+    async def _address(sidecar):
+        await until(lambda: sidecar.engine.clients.all)
+        (client,) = sidecar.engine.clients.all
+        return client.address
+
+    run(play())
+
+
+def test_what_a_request_needs_is_set_aside_when_it_is_taken(tmp_path):
+    """The limit is met between requests, never in the middle of one."""
+
+    async def play():
+        async def act(got, reader, writer):
+            await go.wait()
+            await answer_ok(got, reader, writer)
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        async with start(tmp_path, fake, limits={"sockets": 1}) as sidecar:
+            budget = sidecar.engine.budget
+            assert (budget.clients, budget.upstreams.most) == (4, 4)
+            budget.upstreams.most = 2
+            pairs = [await connect(sidecar.port) for _ in range(4)]
+            for number, (_, writer) in enumerate(pairs):
+                writer.write(message("order", f"o{number}"))
+            tasks = [asyncio.create_task(read_message(reader)) for reader, _ in pairs]
+            await until(lambda: sum(task.done() for task in tasks) == 2)
+            answers = [task.result() for task in tasks if task.done()]
+            assert [answer.code for answer in answers] == [503, 503]
+            assert all(float(answer.headers["retry-after"]) > 0 for answer in answers)
+            await until(lambda: len(fake.got) == 2)
+            assert budget.claims == budget.upstreams.held == 2
+            go.set()
+            codes = sorted([(await task).code for task in tasks])
+            assert codes == [200, 200, 503, 503]
+            await until(lambda: budget.claims == 0)
+            for _, writer in pairs:
+                writer.close()
+
+    run(play())
+
+
+@pytest.mark.parametrize(("failures", "code"), [(1, 200), (3, 503)])
+def test_no_descriptor_for_an_attempt_costs_a_wait_and_no_answer(tmp_path, monkeypatch, failures, code):
+    """EMFILE between taking a request and its attempt; once it waits, again it is refused, and never runs."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with start(tmp_path, fake) as sidecar:
+            left = [failures]
+            real = socket.socket
+
+            def scarce(*arguments):
+                if left[0]:
+                    left[0] -= 1
+                    raise OSError(errno.EMFILE, "Too many open files")
+                return real(*arguments)
+
+            reader, writer = await connect(sidecar.port)
+            monkeypatch.setattr(upstream.socket, "socket", scarce)
+            writer.write(message("order", "one", "3000m", b"x"))
+            answer = await read_message(reader)
+            monkeypatch.setattr(upstream.socket, "socket", real)
+            assert answer.code == code and len(fake.got) == (code == 200)
+            assert code == 200 or float(answer.headers["retry-after"]) > 0
+            assert not sidecar.engine.budget.claims
+            writer.close()
+
+    run(play())
+
+
+def test_no_descriptor_for_the_configuration_changes_nothing(tmp_path, monkeypatch):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with start(tmp_path, fake) as sidecar:
+            before = sidecar.engine.discovery.address
+
+            def scarce(*_, **__):
+                raise OSError(errno.EMFILE, "Too many open files")
+
+            monkeypatch.setattr(program, "open", scarce, raising=False)
+            program.reload(sidecar.engine, str(tmp_path / "c"))
+            assert sidecar.engine.discovery.address == before
+            assert (await ask(sidecar.port, message("order", "a"))).code == 200
+
+    run(play())
+
+
+def test_a_lower_limit_while_running_keeps_every_open_request(tmp_path):
+    async def play():
+        async def act(got, reader, writer):
+            await go.wait()
+            await answer_ok(got, reader, writer)
+
+        go = asyncio.Event()
+        fake = await Fake(act).start()
+        data = config(news(1, *(entry(f"s{n}", fake.address) for n in range(4))))
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            idle = [await connect(sidecar.port) for _ in range(30)]
+            busy = [await connect(sidecar.port) for _ in range(10)]
+            for number, (_, writer) in enumerate(busy):
+                writer.write(message("order", f"o{number}"))
+            await until(lambda: len(fake.got) == 10)
+            data["limits"]["sockets"] = 52
+            (tmp_path / "c").write_text(json.dumps(data))
+            program.reload(sidecar.engine, str(tmp_path / "c"))
+            assert len(sidecar.engine.clients.admission.sides[False].queues[1]) == 0
+            for reader, _ in idle:
+                assert await reader.read() == b""
+            go.set()
+            assert [(await read_message(reader)).code for reader, _ in busy] == [200] * 10
+            for _, writer in idle + busy:
+                writer.close()
+
+    run(play())
+
+
+def test_the_system_s_limit_is_read_with_the_configuration(tmp_path, monkeypatch):
+    path = tmp_path / "c"
+    path.write_text(json.dumps(config(news(1), limits={"sockets": 900})))
+    monkeypatch.setattr(program.resource, "getrlimit", lambda _: (300, 4096))
+    assert program.read_config(str(path)).sockets == 300
+    monkeypatch.setattr(program.resource, "getrlimit", lambda _: (program.resource.RLIM_INFINITY,) * 2)
+    assert program.read_config(str(path)).sockets == 900
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -279,3 +279,16 @@
             assert log.count(b"stays as it was") in (0, 1) and log.count(b"discovery is now at") == 1
 
     run(play())
+
+
+def test_the_platform_s_process_imports_none_of_the_operators_libraries(tmp_path):
+    """Guards the platform's memory, 32 MB on some days."""
+    path = tmp_path / "c"
+    path.write_text(json.dumps(config(news(1))))
+    code = (
+        "import sys, dykefold.__main__ as program; program.read_config(sys.argv[1]);"
+        "print([name for name in sys.modules if name.split('.')[0] in ('msgspec', 'tomllib')"
+        " or name == 'dykefold.operators'])"
+    )
+    done = subprocess.run([sys.executable, "-c", code, str(path)], cwd=ROOT, capture_output=True, text=True)
+    assert done.stdout.strip() == "[]", done.stderr
