Learn at what idle age connections to servers are dead, and use none that is older

Seen: resets within 2 ms of the write begin at an age of 0.1 s, ends of idle connections at 0.36 s, at all servers alike; younger ones die at random too, as often as new ones.

Change: net/idle.py counts uses and dead ones by class of age, per server with what is known of all as a prior, forgets by half in 20 s, and sets the limit at the first age where clearly more die than of the youngest.

--- /dev/null
+++ b/dykefold/net/idle.py
@@ -0,0 +1,66 @@
+"""How long a connection to a server may stand idle and still be used. No I/O: ages and times come in.
+
+A server may close idle connections sooner than it says, and the news of it may come later than the next
+request, which then ends as a reset: a failure for what may not be repeated. So the ages at which reused
+connections turned out dead are counted, by server and for all together, and no connection is used that
+has stood for longer than the first age from which on clearly more of them die than of the youngest.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+
+EDGES_S = (0.0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)  # of the classes of age
+YOUNG = 2  # classes whose part of dead ones is there at any age, as where servers reset at random
+EXCESS = 0.04  # more than the young ones: an order that fails costs far more than a new connection
+DEAD_LEAST = 2.0  # of all servers, lately: one is chance
+PRIOR = 4.0  # uses that what is known of all servers counts for, where one has few of its own
+HALF_LIFE_S = 20.0  # of what is counted: a server may change its mind, and nothing else would tell
+FADE_EVERY_S = 1.0
+
+
+class Ages:
+    """What was seen at each age, of one server or, with no `every`, of all of them."""
+
+    def __init__(self, most_s: float, every: Ages | None = None) -> None:
+        self.most_s = most_s
+        self.every = every
+        self.uses = [0.0] * len(EDGES_S)
+        self.dead = [0.0] * len(EDGES_S)
+        self.faded_at_s = 0.0
+        self.limit_s = most_s
+
+    def note(self, age_s: float, dead: bool, now_s: float) -> None:
+        """Count a use of a connection that had stood idle for so long, and whether it was dead."""
+        if self.every is not None:
+            self.every.note(age_s, dead, now_s)
+        place = bisect_right(EDGES_S, max(age_s, 0.0)) - 1
+        self.uses[place] += 1.0
+        self.dead[place] += dead
+        if dead or now_s - self.faded_at_s >= FADE_EVERY_S:
+            self.limit(now_s)
+
+    def limit(self, now_s: float) -> float:
+        """The age up to which connections are used, seconds; kept in `limit_s`."""
+        fade = 0.5 ** (max(now_s - self.faded_at_s, 0.0) / HALF_LIFE_S)
+        self.faded_at_s = now_s
+        self.uses = [count * fade for count in self.uses]
+        self.dead = [count * fade for count in self.dead]
+        usual = self._part(range(YOUNG))
+        self.limit_s = self.most_s
+        for place in range(YOUNG, len(EDGES_S)):
+            if self._enough(place) and self._part((place,)) - usual > EXCESS:
+                self.limit_s = min(EDGES_S[place], self.most_s)
+                break
+        return self.limit_s
+
+    def _enough(self, place: int) -> bool:
+        return (self.every or self).dead[place] >= DEAD_LEAST
+
+    def _part(self, places: range | tuple[int, ...]) -> float:
+        """The part of dead ones in some classes of age."""
+        uses = sum(self.uses[place] for place in places)
+        dead = sum(self.dead[place] for place in places)
+        if self.every is None:
+            return dead / uses if uses else 0.0
+        return (dead + PRIOR * self.every._part(places)) / (uses + PRIOR)
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -17,10 +17,12 @@
 
 from ..admission.budget import Allowance
 from ..interface import State, Status
+from .idle import Ages
 from .limits import Memory
 
 HEADERS_MOST = 32 * 1024
 STALL_MOST = 0.5  # seconds from an answer's first byte to its last: servers write it when it is ready
+DEAD_WITHIN = 0.05  # seconds after a request was written: what resets it so soon never read it
 IDLE_PART = 0.7  # of the time after which a server may close an idle connection
 HOP_BY_HOP = frozenset(
     (
@@ -96,8 +98,9 @@
 class Target:
     """A server as an address with its connections."""
 
-    def __init__(self, address: tuple[str, int], since_ms: int) -> None:
+    def __init__(self, address: tuple[str, int], since_ms: int, ages: Ages) -> None:
         self.address = address
+        self.ages = ages  # at which its idle connections are still good
         self.since_ms = since_ms
         self.generation = 0  # grows with each restart or move: connections of an earlier one are not kept
         self.takes_new = True
@@ -118,6 +121,8 @@
         self.unwritten = False
         self.closed = False
         self.idle_since = 0.0
+        self.stood = -1.0  # seconds idle before the exchange that is on it; negative for its first
+        self.sent_at = 0.0
         self.parser = httptools.HttpResponseParser(self)
         self.held = 0  # bytes of an answer's body, until it is whole
         self.stalled: asyncio.TimerHandle | None = None
@@ -259,6 +264,8 @@
         except OSError:
             return False
         self._reset()
+        self.sent_at = monotonic()
+        self.stood = self.sent_at - self.idle_since if self.idle_since else -1.0
         self.exchange = exchange
         exchange.connection = self
         if sent < len(exchange.payload):
@@ -273,6 +280,8 @@
         exchange, answer = self.exchange, self.whole
         assert exchange is not None and answer is not None
         self.exchange = None
+        if self.stood >= 0.0:
+            self.target.ages.note(self.stood, False, monotonic())
         self._let_go()
         if self.keep_alive and not self.unwritten and not self.stray:
             self.upstreams.keep(self)
@@ -292,6 +301,9 @@
     def _break(self) -> None:
         """The connection is of no more use; what was on it has no whole answer."""
         exchange, self.exchange = self.exchange, None
+        now = monotonic()
+        if exchange is not None and self.stood >= 0.0 and not self.size and now - self.sent_at < DEAD_WITHIN:
+            self.target.ages.note(self.stood, True, now)
         never = self.unwritten
         self.close()
         if exchange is not None:
@@ -332,6 +344,7 @@
         self.memory = memory
         self.connect_timeout = connect_timeout
         self.idle_most = idle_most * IDLE_PART
+        self.ages = Ages(self.idle_most)  # of all servers
         self.targets: dict[int, Target] = {}
         self.connections: set[Connection] = set()
         self.idle: OrderedDict[Connection, None] = OrderedDict()  # of all targets, the longest idle first
@@ -343,7 +356,7 @@
         """Take news of a server. Idle connections to what it was before are of no use."""
         target = self.targets.get(server)
         if target is None:
-            target = self.targets[server] = Target(address, since_ms)
+            target = self.targets[server] = Target(address, since_ms, Ages(self.idle_most, self.ages))
         elif target.since_ms != since_ms or target.address != address:
             self.close_idle(server)
             target.since_ms, target.address = since_ms, address
@@ -373,6 +386,9 @@
         exchange.timer = self.loop.call_later(max(timeout, 0.001), exchange.give_up, Status.TIMEOUT)
         while target.idle:
             connection = self._take_idle(target)
+            if monotonic() - connection.idle_since > target.ages.limit_s:
+                connection.close()  # and so have all others of this server stood for too long
+                continue
             if connection.send(exchange):
                 return
             connection.close()  # found dead before anything was written: no attempt was made
@@ -485,8 +501,9 @@
 
     def sweep(self) -> None:
         """Close what has stood idle well before the server does, or a request would meet its end."""
-        before = monotonic() - self.idle_most
+        now = monotonic()
         for target in self.targets.values():
+            before = now - target.ages.limit(now)
             while target.idle and (first := next(iter(target.idle))).idle_since < before:
                 first.close()
 
--- /dev/null
+++ b/tests/test_net_idle.py
@@ -0,0 +1,55 @@
+"""At what age idle connections turn out dead: learned per server, from all of them, and forgotten."""
+
+from dykefold.net.idle import EDGES_S, Ages
+
+MOST = 42.0
+
+
+def uses(ages, count, age, dead, now=0.0):
+    for number in range(count):
+        ages.note(age, number < dead, now)
+
+
+def test_without_evidence_the_settings_hold():
+    ages = Ages(MOST)
+    uses(ages, 1000, 5.0, 0)
+    assert ages.limit(0.0) == MOST
+
+
+def test_the_first_age_at_which_clearly_more_die_is_the_limit():
+    ages = Ages(MOST)
+    uses(ages, 200, 0.01, 0)
+    uses(ages, 50, 0.15, 0)
+    uses(ages, 20, 0.3, 5)
+    uses(ages, 20, 1.0, 10)
+    assert ages.limit(0.0) == 0.2
+
+
+def test_resets_at_any_age_are_no_reason_to_close_old_ones():
+    """Guards days on which servers reset kept connections at random: new ones fare no better."""
+    ages = Ages(MOST)
+    for age in EDGES_S:
+        uses(ages, 100, age, 10)
+    assert ages.limit(0.0) == MOST
+
+
+def test_one_dead_connection_is_chance():
+    ages = Ages(MOST)
+    uses(ages, 1, 0.3, 1)
+    assert ages.limit(0.0) == MOST
+
+
+def test_a_server_that_nothing_is_known_of_is_taken_for_one_like_the_others():
+    every = Ages(MOST)
+    known, other, good = (Ages(MOST, every) for _ in range(3))
+    uses(known, 20, 0.3, 10)
+    assert known.limit(0.0) == other.limit(0.0) == 0.2
+    uses(good, 200, 0.3, 0)  # its own news count for more in the end
+    assert good.limit(0.0) == MOST and known.limit(0.0) == 0.2
+
+
+def test_what_was_learned_is_tried_again_after_a_while():
+    ages = Ages(MOST)
+    uses(ages, 20, 0.3, 10)
+    assert ages.limit(0.0) == 0.2
+    assert ages.limit(60.0) == MOST
