--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -62,10 +62,14 @@
             pass  # the only one that is let in
         turned_us = connections(running, b"", 4.0)
         garbage_us = connections(running, b"\x16\x03\x01 this is no http\r\n\r\n", 4.0, "127.1.200.1")
+        unknown_us = requests(running, 1, 4.0)
+        piped_us = requests(running, 100, 4.0)
     print("refusal: processor time in the sidecar, microseconds")
     print(f"  a request served          {served_us:7.1f}")
     print(f"  a connection turned away  {turned_us:7.1f}  ({turned_us / served_us:.2f} of it)")
     print(f"  a connection with garbage {garbage_us:7.1f}  ({garbage_us / served_us:.2f} of it)")
+    print(f"  a bad request, at once    {unknown_us:7.1f}  ({unknown_us / served_us:.2f} of it)")
+    print(f"  ... a hundred sent ahead  {piped_us:7.1f}  ({piped_us / served_us:.2f} of it)")
 
 
 def connections(running: Running, data: bytes, seconds: float, address: str = FLOOD) -> float:
@@ -84,6 +88,20 @@
     return (running.cpu_s() - before) / count * 1e6
 
 
+def requests(running: Running, ahead: int, seconds: float) -> float:
+    """Requests for a class that does not exist, each batch as soon as the last is answered."""
+    batch = b"GET /nothing HTTP/1.1\r\nHost: a\r\nX-Request-Id: x\r\n\r\n" * ahead
+    with socket.create_connection(("127.0.0.1", running.port), source_address=("127.1.200.2", 0)) as sock:
+        before, count, until = running.cpu_s(), 0, time.monotonic() + seconds
+        while time.monotonic() < until:
+            sock.sendall(batch)
+            answered = 0
+            while answered < ahead:
+                answered += sock.recv(65536).count(b"HTTP/1.1 404")
+            count += ahead
+        return (running.cpu_s() - before) / count * 1e6
+
+
 async def flooded(port: int, seconds: float, flood: bool) -> Tally:
     tasks = [asyncio.create_task(flooder(port, seconds)) for _ in range(4 if flood else 0)]
     tally = await desks(port, 40, seconds, pause_s=0.05)
--- a/dykefold/net/idle.py
+++ b/dykefold/net/idle.py
@@ -13,7 +13,7 @@
 EDGES_S = (0.0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)  # of the classes of age
 YOUNG = 2  # classes whose part of dead ones is there at any age, as where servers reset at random
 EXCESS = 0.04  # more than the young ones: an order that fails costs far more than a new connection
-DEAD_LEAST = 2.0  # of all servers, lately: one is chance
+DEAD_LEAST = 1.5  # of all servers, lately: one is chance
 PRIOR = 4.0  # uses that what is known of all servers counts for, where one has few of its own
 HALF_LIFE_S = 20.0  # of what is counted: a server may change its mind, and nothing else would tell
 FADE_EVERY_S = 1.0
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -24,9 +24,11 @@
 
 
 def main() -> int:
-    with parts_nodes(4) as ports, sidecar(ports) as running, asyncio.Runner(
-        loop_factory=uvloop.new_event_loop
-    ) as runner:
+    with (
+        parts_nodes(4) as ports,
+        sidecar(ports) as running,
+        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+    ):
         return runner.run(work(running.port))
 
 
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -8,7 +8,7 @@
 import weakref
 
 import pytest
-from net_helpers import HOST, WAIT, Fake, answer_ok, reply, run, silent, until
+from net_helpers import HOST, WAIT, Fake, answer_ok, reply, reset, run, silent, until
 
 from dykefold.admission.budget import Allowance
 from dykefold.interface import State, Status
@@ -438,3 +438,37 @@
         assert exchange_gone
 
     run(play())
+
+
+def test_an_age_at_which_idle_connections_turn_out_dead_is_used_no_more(monkeypatch):
+    """Guards stale days: the server had closed them, its news came later than the next request."""
+
+    async def play():
+        last = {}
+
+        async def act(message, reader, writer):
+            idle = clock[0] - last.get(message.connection, clock[0])
+            last[message.connection] = clock[0]
+            if idle > 0.3:
+                reset(writer)  # as the system does where nobody reads any more
+            else:
+                writer.write(reply(200, b"ok"))
+
+        fake = await Fake(act).start()
+        pool = make((HOST, fake.port))
+        outcomes = []
+        for gap in [0.01] * 20 + [0.5] * 8:
+            clock[0] += gap
+            outcomes.append((await start(pool)[1])[0])
+        assert outcomes[:20] == [Status.OK] * 20
+        assert outcomes.count(Status.RESET) == 2, outcomes  # enough to tell it from chance
+        assert outcomes[-3:] == [Status.OK] * 3
+        assert pool.targets[1].ages.limit_s == 0.4
+        clock[0] += 0.5
+        pool.sweep()  # closes what would not be used any more
+        assert not pool.targets[1].idle
+        pool.close()
+
+    clock = [1000.0]
+    monkeypatch.setattr(upstream, "monotonic", lambda: clock[0])
+    run(play())
