--- a/tests/admission/test_listener.py
+++ b/tests/admission/test_listener.py
@@ -15,6 +15,7 @@
     ask,
     config,
     entry,
+    gated,
     message,
     news,
     read_message,
@@ -102,11 +103,7 @@
 
 def test_who_can_not_be_taken_hears_it_by_the_spare_descriptor(tmp_path):
     async def play():
-        async def act(got, reader, writer):
-            await go.wait()
-            await answer_ok(got, reader, writer)
-
-        go = asyncio.Event()
+        go, act = gated()
         fake = await Fake(act).start()
         async with start(tmp_path, fake) as sidecar:
             reader, writer = await connect(sidecar.port)
@@ -166,11 +163,7 @@
 
 def test_caps_on_open_requests_refuse_at_once_and_let_the_client_come_back(tmp_path):
     async def play():
-        async def act(got, reader, writer):
-            await go.wait()
-            await answer_ok(got, reader, writer)
-
-        go = asyncio.Event()
+        go, act = gated()
         fake = await Fake(act).start()
         async with start(tmp_path, fake) as sidecar:
             sidecar.engine.limit(1024, Caps(open_requests=2))
@@ -224,11 +217,7 @@
     """The limit is met between requests, never in the middle of one."""
 
     async def play():
-        async def act(got, reader, writer):
-            await go.wait()
-            await answer_ok(got, reader, writer)
-
-        go = asyncio.Event()
+        go, act = gated()
         fake = await Fake(act).start()
         async with start(tmp_path, fake, limits={"sockets": 1}) as sidecar:
             budget = sidecar.engine.budget
@@ -302,11 +291,7 @@
 
 def test_a_lower_limit_while_running_keeps_every_open_request(tmp_path):
     async def play():
-        async def act(got, reader, writer):
-            await go.wait()
-            await answer_ok(got, reader, writer)
-
-        go = asyncio.Event()
+        go, act = gated()
         fake = await Fake(act).start()
         data = config(news(1, *(entry(f"s{n}", fake.address) for n in range(4))))
         async with Sidecar(tmp_path / "c", data) as sidecar:
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -109,6 +109,17 @@
     writer.write(reply(200, b"served " + message.body))
 
 
+def gated():
+    """An act that answers once the event is set."""
+    go = asyncio.Event()
+
+    async def act(message, reader, writer):
+        await go.wait()
+        await answer_ok(message, reader, writer)
+
+    return go, act
+
+
 async def silent(message, reader, writer):
     await reader.read()
 
