Rest after any error of accept; count refusals for want of room; exit 2 for a bad file

Need: read once more, the change let an accept error that is not a lack of descriptors (a packet filter's EPERM) raise out of the loop's callback at each event; a newcomer refused while all was full kept its allowance of new connections; one log line named no address; a bad operator's file ended the start with 1.

Change: every error of accept is one limited log line and a rest of 50 ms, only a lack of descriptors costs anybody a place; each refusal is remembered with its address; exit code 2.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -31,7 +31,11 @@
 
 
 class ConfigError(Exception):
-    """The sidecar can't start; the text says why in one line."""
+    """The sidecar can't start; the text says why, and `code` is what the process ends with."""
+
+    def __init__(self, text: str, code: int = 1) -> None:
+        super().__init__(text)
+        self.code = code
 
 
 @dataclass(slots=True)
@@ -102,7 +106,7 @@
     try:
         return read_service(service)
     except ServiceError as error:
-        raise ConfigError("\n".join(error.lines())) from None
+        raise ConfigError("\n".join(error.lines()), code=2) from None
 
 
 def start_engine(loop: asyncio.AbstractEventLoop, config: Config) -> Engine:
@@ -161,7 +165,7 @@
         _read_caps(path)
     except ConfigError as error:
         print(error, file=sys.stderr)
-        return 2
+        return error.code
     print(f"{path}: good")
     return 0
 
@@ -183,7 +187,7 @@
             signal.signal(signal.SIGHUP, signal.SIG_IGN)
     except ConfigError as error:
         print(f"dykefold: {error}", file=sys.stderr)
-        return 1
+        return error.code
     return 0
 
 
--- a/dykefold/admission/listener.py
+++ b/dykefold/admission/listener.py
@@ -78,9 +78,7 @@
             except ConnectionAbortedError:  # it was reset while it waited
                 continue
             except OSError as error:
-                if error.errno not in STARVED:
-                    raise
-                self._starved(error)
+                self._failed(error)
                 return
             client, reason = self.clients.admit(peer[0])
             if client is None:
@@ -102,16 +100,20 @@
 
     # Without descriptors
 
-    def _starved(self, error: OSError) -> None:
+    def _failed(self, error: OSError) -> None:
         """Guards the loop against spinning on a listener that stays readable while nothing can be accepted.
 
         Somebody who may leave makes room for the next turn. If nobody may, the spare descriptor turns
-        away who waits, so that they hear it rather than hang in the backlog.
+        away who waits, so that they hear it rather than hang in the backlog. Other errors are of the
+        network or a packet filter (accept(2)): they need a rest as well, and nobody's place.
         """
         if monotonic() - self.noted_at_s >= NOTES_APART_S:
             self.noted_at_s = monotonic()
-            log.warning("limit met: descriptors of the process or system (%s)", error.strerror)
-        if not self.clients.release():
+            if error.errno in STARVED:
+                log.warning("limit met: descriptors of the process or system (%s)", error.strerror)
+            else:
+                log.warning("accept failed: %s", error.strerror)
+        if error.errno in STARVED and not self.clients.release():
             self._turn_away()
         self.pause()
 
--- a/dykefold/admission/rules.py
+++ b/dykefold/admission/rules.py
@@ -142,8 +142,7 @@
             return None, Reason.CONNECTIONS, None
         if not self.addresses.take_token(address, now_s):
             self.offence(address, now_s)
-            if not address.connections:
-                self.addresses.released(address)  # or its use of the cap would be forgotten
+            self.addresses.released(address)  # or its use of the cap would be forgotten
             return None, Reason.NEW_CONNECTIONS, None
         victim = None
         strangers = self.share.connections - self._reserve()
@@ -155,6 +154,7 @@
             if victim is not None:
                 self.leave(victim)
             if victim is None or over:
+                self.addresses.released(address)
                 return None, Reason.FULL, victim
         client = Client(address, host)
         self.addresses.entered(address)
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -205,7 +205,7 @@
             return 429, self._come_back(), b"too many open requests from this address\n"
         if len(self.held) >= self.max_open or not self.budget.claim():
             self.clients.close_request(front.client, served=False)
-            self.clients.note(Reason.REQUESTS, "")
+            self.clients.note(Reason.REQUESTS, front.client.host)
             return 503, self._come_back(), b"too many open requests\n"
         self.ids.add(call.ident)
         return None
--- a/tests/admission/test_admission_rules.py
+++ b/tests/admission/test_admission_rules.py
@@ -129,6 +129,13 @@
     assert admission.count == 0 and not admission.addresses.active
 
 
+def test_who_is_refused_for_want_of_room_has_spent_its_new_connection_all_the_same():
+    admission = cap(1, new_per_s=1.0, new_burst=3.0)
+    enter(admission, "10.0.0.9", state=State.BUSY)
+    reasons = [admission.connect("10.0.0.1", 0.0)[1] for _ in range(5)]
+    assert reasons == [Reason.FULL] * 3 + [Reason.NEW_CONNECTIONS] * 2
+
+
 def test_known_desks_that_come_together_after_a_restart_are_all_let_in():
     admission = cap(60, new_per_s=1.0, new_burst=1.0, known=KNOWN, reserve=30)
     for number in range(60):  # strangers first, as fast as they can
--- a/tests/admission/test_listener.py
+++ b/tests/admission/test_listener.py
@@ -61,7 +61,7 @@
     return await asyncio.open_connection(HOST, port, local_addr=(host, 0))
 
 
-@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPERM])
 def test_without_descriptors_it_pauses_and_comes_back(tmp_path, error):
     async def play():
         fake = await Fake(answer_ok).start()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -281,6 +281,17 @@
     run(play())
 
 
+def test_a_bad_operators_file_ends_the_start_with_2_and_says_what_is_wrong(tmp_path):
+    path, service = tmp_path / "c", tmp_path / "service.toml"
+    path.write_text(json.dumps(config(news(1))))
+    service.write_text("[admission]\nreserve = -1\n")
+    environment = {**os.environ, "GW_CONFIG": str(path), "DYKEFOLD_SERVICE": str(service)}
+    done = subprocess.run(
+        [sys.executable, "-m", "dykefold"], cwd=ROOT, env=environment, capture_output=True, text=True
+    )
+    assert done.returncode == 2 and "admission.reserve = -1" in done.stderr
+
+
 def test_the_platform_s_process_imports_none_of_the_operators_libraries(tmp_path):
     """Guards the platform's memory, 32 MB on some days."""
     path = tmp_path / "c"
