--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -855,7 +855,7 @@
         """An answer has overtaken the attempts sent before its own; after a few, theirs count as lost.
 
         Guards against a network or servers that drop some answers and give the others in time: taken for
-        late ones, a tenth of lost answers halved the limit, and the lookups among them waited for nothing.
+        late ones, a tenth of lost answers halved the limit. It is no reason to call one off and repeat it.
         """
         gone = []
         for key, out in server.out.items():
@@ -868,9 +868,6 @@
                     gone.append(key)
         for key in gone:
             self._write_off(server, key)
-            req = self.open.get(key[0])
-            if req is not None:
-                self._rescue(req, key[1])
 
     def _write_off(self, server: Server, attempt: tuple[int, int]) -> None:
         """Take an attempt that is overdue twice out of what is in flight: its answer is most likely lost.
