--- a/standins/load.py
+++ b/standins/load.py
@@ -9,6 +9,11 @@
 from dataclasses import dataclass, field
 
 IDS = itertools.count()
+LOOKUP = b"GET /lookup/part HTTP/1.1\r\nHost: a\r\nX-Request-Id: b%d\r\nX-Deadline: 3000m\r\n\r\n"
+ORDER = (
+    b"POST /order/part HTTP/1.1\r\nHost: a\r\nX-Request-Id: b%d\r\nX-Deadline: 3000m\r\n"
+    b"Content-Length: 4\r\n\r\nhull"
+)
 
 
 @dataclass(slots=True)
@@ -24,7 +29,12 @@
 
 
 async def desk(
-    port: int, tally: Tally, until: float, address: str = "127.0.0.1", pause_s: float = 0.0
+    port: int,
+    tally: Tally,
+    until: float,
+    address: str = "127.0.0.1",
+    pause_s: float = 0.0,
+    orders: float = 0.0,
 ) -> None:
     """Ask until the time on the monotonic clock has come, on a new connection whenever the old one ends."""
     while time.monotonic() < until:
@@ -33,10 +43,10 @@
             try:
                 while time.monotonic() < until:
                     began = time.monotonic()
-                    writer.write(
-                        b"GET /lookup/part HTTP/1.1\r\nHost: a\r\n"
-                        b"X-Request-Id: b%d\r\nX-Deadline: 3000m\r\n\r\n" % next(IDS)
-                    )
+                    ident = next(IDS)
+                    # Every nth is an order; which one does not hang on chance.
+                    order = orders and int(ident * orders) > int((ident - 1) * orders)
+                    writer.write((ORDER if order else LOOKUP) % ident)
                     head = await reader.readuntil(b"\r\n\r\n")
                     length = head.lower().partition(b"content-length: ")[2].partition(b"\r")[0]
                     await reader.readexactly(int(length))
@@ -55,10 +65,10 @@
                 writer.close()
 
 
-async def desks(port: int, count: int, seconds: float, pause_s: float = 0.0) -> Tally:
+async def desks(port: int, count: int, seconds: float, pause_s: float = 0.0, orders: float = 0.0) -> Tally:
     """So many desks at once; 127.1.0.0/16 gives their addresses."""
     tally = Tally()
     until = time.monotonic() + seconds
     names = (f"127.1.{number // 250}.{number % 250 + 1}" for number in range(count))
-    await asyncio.gather(*(desk(port, tally, until, name, pause_s) for name in names))
+    await asyncio.gather(*(desk(port, tally, until, name, pause_s, orders) for name in names))
     return tally
--- a/standins/sidecar.py
+++ b/standins/sidecar.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -32,11 +32,18 @@
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
+def pinned(core: int | None) -> Callable[[], None] | None:
+    """What a new process does first to keep to one core, for `preexec_fn`."""
+    return None if core is None else lambda: os.sched_setaffinity(0, {core})
+
+
 @contextlib.contextmanager
-def parts_nodes(count: int) -> Iterator[list[int]]:
+def parts_nodes(count: int, core: int | None = None) -> Iterator[list[int]]:
     """So many parts nodes in one process; their ports."""
     command = [sys.executable, "-m", "standins.parts", str(count)]
-    with subprocess.Popen(command, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE) as process:
+    with subprocess.Popen(
+        command, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, preexec_fn=pinned(core)
+    ) as process:
         assert process.stdout is not None
         yield [int(port) for port in process.stdout.readline().split()]
         assert process.stdin is not None
@@ -45,7 +52,11 @@
 
 @contextlib.contextmanager
 def sidecar(
-    ports: list[int], sockets: int = 1024, tree: Path = ROOT, service: Path | None = None
+    ports: list[int],
+    sockets: int = 1024,
+    tree: Path = ROOT,
+    service: Path | None = None,
+    core: int | None = None,
 ) -> Iterator[Running]:
     """The sidecar of a source tree in front of these ports of 127.0.0.1."""
     with tempfile.TemporaryDirectory() as folder:
@@ -55,7 +66,11 @@
         if service is not None:
             environment["DYKEFOLD_SERVICE"] = str(service)
         process = subprocess.Popen(
-            [sys.executable, "-m", "dykefold"], cwd=tree, env=environment, stderr=subprocess.PIPE
+            [sys.executable, "-m", "dykefold"],
+            cwd=tree,
+            env=environment,
+            stderr=subprocess.PIPE,
+            preexec_fn=pinned(core),
         )
         assert process.stderr is not None
         try:
--- /dev/null
+++ b/standins/truth.py
@@ -0,0 +1,189 @@
+"""Parts nodes that keep the truth: which request ran how often, and what still stood when a repeat came.
+
+A repeat overlaps if an earlier attempt of its id still has its connection when the repeat's last byte has
+come, judged by reading, without waiting, on the earlier descriptor. Plain sockets and a selector: what
+counts is what the kernel knows, not what an event loop has got round to.
+
+As a process, `python -m standins.truth PORTS PHASE_S`, one node after the other misbehaves for a phase, in
+each of the ways of `TROUBLES` in turn; the ports are printed at the start, the tally as JSON at the end
+of standard input.
+"""
+
+from __future__ import annotations
+
+import json
+import selectors
+import socket
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+SPOILT = b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n"
+NEVER = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+CLOSE = b""
+SILENCE = None
+TROUBLES: tuple[bytes | None, ...] = (SILENCE, SPOILT, CLOSE, NEVER)
+
+
+@dataclass(slots=True)
+class Arrival:
+    """A request whose last byte has come."""
+
+    ident: str
+    method: str
+    port: int
+    sock: socket.socket
+    overlaps: bool
+    keyed: bool
+
+
+@dataclass(slots=True)
+class Tally:
+    requests: int = 0
+    repeats: int = 0
+    overlaps: int = 0
+    orders_twice: int = 0
+
+
+Act = Callable[[Arrival, int], bytes | None]  # with the number of earlier arrivals of this id
+
+
+@dataclass
+class Truth:
+    """Nodes on ports of their own; `act` says what is answered, CLOSE and SILENCE included."""
+
+    ports: int
+    act: Act
+    tally: Tally = field(default_factory=Tally)
+
+    def __post_init__(self) -> None:
+        self.selector = selectors.DefaultSelector()
+        self.arrivals: dict[str, list[Arrival]] = {}
+        self.ran: Counter[str] = Counter()
+        self.held: dict[socket.socket, bytes] = {}
+        self.listeners = [socket.create_server(("127.0.0.1", 0), backlog=512) for _ in range(self.ports)]
+        for listener in self.listeners:
+            listener.setblocking(False)
+            self.selector.register(listener, selectors.EVENT_READ)
+        self.wake, self.woken = socket.socketpair()
+        self.selector.register(self.woken, selectors.EVENT_READ)
+
+    @property
+    def numbers(self) -> list[int]:
+        return [listener.getsockname()[1] for listener in self.listeners]
+
+    def run(self) -> None:
+        """Serve until `stop`."""
+        while True:
+            for key, _ in self.selector.select():
+                sock = key.fileobj
+                assert isinstance(sock, socket.socket)
+                if sock is self.woken:
+                    return
+                if sock in self.listeners:
+                    self._accept(sock)
+                else:
+                    self._read(sock)
+
+    def stop(self) -> None:
+        self.wake.send(b"x")
+
+    def _accept(self, listener: socket.socket) -> None:
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return
+        sock.setblocking(False)
+        self.held[sock] = b""
+        self.selector.register(sock, selectors.EVENT_READ)
+
+    def _read(self, sock: socket.socket) -> None:
+        try:
+            data = sock.recv(65536)
+        except OSError:
+            data = b""
+        if not data:
+            self._close(sock)
+            return
+        data = self.held[sock] + data
+        while sock in self.held and (end := _message_end(data)):
+            message, data = data[:end], data[end:]
+            self._arrived(sock, message)
+        if sock in self.held:
+            self.held[sock] = data
+
+    def _arrived(self, sock: socket.socket, message: bytes) -> None:
+        head = message.split(b"\r\n\r\n", 1)[0].decode("latin-1").split("\r\n")
+        lines = dict(line.lower().split(": ", 1) for line in head[1:])
+        ident = lines.get("x-request-id", "")
+        earlier = self.arrivals.setdefault(ident, [])
+        overlaps = any(_stands(other.sock) for other in earlier)
+        arrival = Arrival(
+            ident, head[0].split()[0], sock.getsockname()[1], sock, overlaps, "idempotency-key" in lines
+        )
+        answer = self.act(arrival, len(earlier))
+        self.tally.requests += 1
+        self.tally.repeats += bool(earlier)
+        self.tally.overlaps += overlaps
+        earlier.append(arrival)
+        if answer != NEVER:
+            self.ran[ident] += 1
+            if arrival.method == "POST" and not arrival.keyed:
+                self.tally.orders_twice += self.ran[ident] > 1
+        if answer == CLOSE:
+            self._close(sock)
+        elif answer is not SILENCE:
+            sock.send(answer)
+            if answer in (GOOD, NEVER):
+                earlier.remove(arrival)  # over, and its connection may go on to others
+
+    def _close(self, sock: socket.socket) -> None:
+        self.selector.unregister(sock)
+        self.held.pop(sock, None)
+        sock.close()
+
+
+def _message_end(data: bytes) -> int:
+    """Where the first whole message ends; 0 if none is whole."""
+    end = data.find(b"\r\n\r\n") + 4
+    if end < 4:
+        return 0
+    _, found, value = data[:end].lower().partition(b"content-length: ")
+    end += int(value.split(b"\r\n", 1)[0]) if found else 0
+    return end if len(data) >= end else 0
+
+
+def _stands(sock: socket.socket) -> bool:
+    """Whether a connection has not ended, as far as the kernel of its server knows."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
+def main(ports: int, phase_s: float) -> None:
+    began = time.monotonic()
+
+    def act(arrival: Arrival, earlier: int) -> bytes | None:
+        phase = int((time.monotonic() - began) / phase_s)
+        sick = truth.numbers[phase % ports] == arrival.port
+        return TROUBLES[phase // ports % len(TROUBLES)] if sick else GOOD
+
+    truth = Truth(ports, act)
+    print(*truth.numbers, flush=True)
+    thread = threading.Thread(target=truth.run)
+    thread.start()
+    sys.stdin.read()
+    truth.stop()
+    thread.join()
+    print(json.dumps(asdict(truth.tally)), flush=True)
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), float(sys.argv[2]))
--- /dev/null
+++ b/tests/test_net_ends.py
@@ -0,0 +1,209 @@
+"""What an end promises: when an attempt is reported as over, nothing of it stands at the other side."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+from net_helpers import WAIT, run
+from test_net_upstream import PAYLOAD, make
+
+from dykefold.interface import State, Status
+from dykefold.net.upstream import Exchange
+from standins.load import desks
+from standins.sidecar import ROOT, sidecar
+from standins.truth import CLOSE, GOOD, NEVER, SILENCE, SPOILT, Truth
+
+HELD = 0.05  # seconds for which the loop is kept from its next turn, so that the server looks first
+
+
+@contextlib.contextmanager
+def truth(ports, act):
+    server = Truth(ports, act)
+    thread = threading.Thread(target=server.run)
+    thread.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+        thread.join()
+
+
+ENDS = {
+    "cancel": (SILENCE, lambda exchange: exchange.give_up(Status.CANCELLED), Status.CANCELLED),
+    "time-out": (SILENCE, lambda exchange: exchange.give_up(Status.TIMEOUT), Status.TIMEOUT),
+    "spoilt": (SPOILT, None, Status.RESET),
+    "stalled": (GOOD[:-1], None, Status.RESET),
+    "closed": (CLOSE, None, Status.RESET),
+    "full": (NEVER, None, Status.FULL),
+}
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_a_repeat_in_the_same_turn_as_the_end_meets_no_earlier_attempt(how):
+    answer, end, expected = ENDS[how]
+    came, seen = threading.Event(), threading.Event()
+
+    def act(arrival, earlier):
+        if arrival.ident == "warm":
+            return GOOD
+        again = came.is_set()
+        (seen if again else came).set()
+        return GOOD if again else answer
+
+    with truth(2, act) as server:
+
+        async def play():
+            first, second = (("127.0.0.1", port) for port in server.numbers)
+            pool = make(first)
+            pool.update(2, second, 0, State.READY)
+            done = asyncio.get_running_loop().create_future()
+            # A connection to the second server stands ready: the repeat's bytes go out within the call.
+            warm = asyncio.get_running_loop().create_future()
+            pool.start(
+                2, Exchange(PAYLOAD.replace(b"ab", b"warm"), lambda _, s, a: warm.set_result(s), 99), WAIT
+            )
+            assert await warm is Status.OK
+
+            def again(_, status, answer):
+                assert status is expected
+                pool.start(2, Exchange(PAYLOAD, lambda _, s, a: done.set_result(s), 99), WAIT)
+                assert seen.wait(WAIT)
+                time.sleep(HELD)
+
+            exchange = Exchange(PAYLOAD, again, 99)
+            pool.start(1, exchange, WAIT)
+            await asyncio.to_thread(came.wait, WAIT)
+            if end is not None:
+                end(exchange)
+            assert await done is Status.OK
+            pool.close()
+
+        run(play())
+        assert (server.tally.requests, server.tally.overlaps) == (3, 0)
+
+
+def test_a_half_written_order_is_never_completed_after_it_was_given_up():
+    """The transport would go on writing what it has buffered: the server reads in that very moment."""
+    payload = (
+        b"POST /order HTTP/1.1\r\nX-Request-Id: ab\r\nContent-Length: 4000000\r\n\r\n"
+    payload += b"x" * 4_000_000
+    )
+
+    async def play():
+        server = socket.create_server(("127.0.0.1", 0))
+        pool = make(server.getsockname())
+        end = asyncio.get_running_loop().create_future()
+        exchange = Exchange(payload, lambda _, status, answer: end.set_result(status), 99)
+        pool.start(1, exchange, WAIT)
+        while exchange.connection is None:
+            await asyncio.sleep(0.005)
+        peer, _ = server.accept()
+        assert exchange.connection.unwritten
+        exchange.give_up(Status.CANCELLED)
+        # Room comes up before the loop's next turn, in which the transport is closed.
+        got = b""
+        peer.settimeout(HELD)
+        with contextlib.suppress(OSError):
+            while data := peer.recv(1 << 20):
+                got += data
+        assert await end is Status.CONNECT_FAILED
+        await asyncio.sleep(HELD)
+        peer.settimeout(WAIT)
+        with contextlib.suppress(ConnectionResetError):
+            while data := peer.recv(1 << 20):
+                got += data
+        assert len(got) < len(payload)
+        peer.close()
+        server.close()
+        pool.close()
+
+    run(play())
+
+
+def test_a_cancel_while_the_connect_completes_writes_nothing():
+    async def play():
+        server = socket.create_server(("127.0.0.1", 0))
+        pool = make(server.getsockname())
+        ends = []
+        exchange = Exchange(PAYLOAD, lambda _, status, answer: ends.append(status), 99)
+        pool.start(1, exchange, WAIT)
+        server.settimeout(0)
+        peer = None
+        while peer is None:
+            await asyncio.sleep(0)  # until the connect is on its way
+            with contextlib.suppress(BlockingIOError):
+                peer, _ = server.accept()  # the kernel has completed it; the loop may not know yet
+        exchange.give_up(Status.CANCELLED)
+        assert ends == [Status.CONNECT_FAILED]
+        await asyncio.sleep(HELD)
+        peer.setblocking(False)
+        with contextlib.suppress(BlockingIOError, ConnectionResetError):
+            assert not peer.recv(1)
+        assert not pool.targets[1].opening
+        pool.close()
+        peer.close()
+        server.close()
+        assert not pool.connections and not pool.allowance.held
+
+    run(play())
+
+
+def test_a_descriptor_number_that_is_used_again_at_once_is_a_connection_of_its_own():
+    """Guards the next connection under the same number from the end of the one before it."""
+    with truth(1, lambda arrival, earlier: GOOD if arrival.ident == "b" else SILENCE) as server:
+
+        async def play():
+            pool = make(("127.0.0.1", server.numbers[0]))
+            for _ in range(20):
+                exchange = Exchange(PAYLOAD, lambda *_: None, 99)
+                pool.start(1, exchange, WAIT)
+                while exchange.connection is None:
+                    await asyncio.sleep(0)
+                number = exchange.connection.sock.fileno()
+                exchange.give_up(Status.TIMEOUT)
+                done = asyncio.get_running_loop().create_future()
+                other = Exchange(PAYLOAD.replace(b"ab", b"b"), lambda _, s, a: done.set_result(s), 99)  # noqa: B023
+                pool.start(1, other, WAIT)
+                assert await done is Status.OK
+                pool.close_idle(1)
+                assert number > 0
+            pool.close()
+
+        run(play())
+
+
+def test_a_paused_process_sends_no_repeat_that_overlaps():
+    """The real process, stopped for 60 ms again and again while one node after the other is in trouble."""
+    outcome = paused_run(seconds=6.0)
+    assert outcome["repeats"] > 20, outcome
+    assert (outcome["overlaps"], outcome["orders_twice"]) == (0, 0)
+
+
+def paused_run(seconds, nodes=6, phase_s=0.25, tree=ROOT):
+    command = [sys.executable, "-m", "standins.truth", str(nodes), str(phase_s)]
+    with (
+        subprocess.Popen(command, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE) as process,
+        sidecar([int(port) for port in process.stdout.readline().split()], tree=tree) as running,
+    ):
+
+        async def play():
+            load = asyncio.create_task(desks(running.port, 32, seconds, orders=0.2))
+            while not load.done():
+                os.kill(running.process.pid, signal.SIGSTOP)
+                await asyncio.sleep(0.06)
+                os.kill(running.process.pid, signal.SIGCONT)
+                await asyncio.wait([load], timeout=0.1)
+            return load.result()
+
+        tally = asyncio.run(play())
+        assert tally.served
+        process.stdin.close()
+        return json.loads(process.stdout.readline())
