--- a/tests/test_net_ends.py
+++ b/tests/test_net_ends.py
@@ -92,10 +92,8 @@
 
 def test_a_half_written_order_is_never_completed_after_it_was_given_up():
     """The transport would go on writing what it has buffered: the server reads in that very moment."""
-    payload = (
-        b"POST /order HTTP/1.1\r\nX-Request-Id: ab\r\nContent-Length: 4000000\r\n\r\n"
+    payload = b"POST /order HTTP/1.1\r\nX-Request-Id: ab\r\nContent-Length: 4000000\r\n\r\n"
     payload += b"x" * 4_000_000
-    )
 
     async def play():
         server = socket.create_server(("127.0.0.1", 0))
