--- a/dykefold/admission/clients.py
+++ b/dykefold/admission/clients.py
@@ -76,7 +76,7 @@
         else:
             state = State.ONCE if guest.messages else State.SILENT
         self.admission.place(guest.client, state, guest.begun, guest.messages, now)
-        if state is State.ONCE:
+        if state is State.ONCE and self.admission.asked > self.admission.working:
             self._let_go(self.admission.surplus(now))
 
     def open_request(self, client: Client) -> bool:
--- a/dykefold/admission/rules.py
+++ b/dykefold/admission/rules.py
@@ -117,6 +117,8 @@
         self.busy = 0
         self.peak = self.earlier_peak = 0  # of `busy`, in this span and in the one before
         self.peak_at_s = 0.0
+        self.working = 0.0  # connections that clients can make use of, by these peaks
+        self._count_working()
         self.gap_s = GAP_FIRST_S
         self.gap_deviation_s = GAP_FIRST_S / 2
 
@@ -222,9 +224,16 @@
         if now_s - self.peak_at_s >= PEAK_SPAN_S:
             stale = now_s - self.peak_at_s >= 2 * PEAK_SPAN_S
             self.earlier_peak = 0 if stale else self.peak
-            self.peak = 0
+            self.peak = self.busy
             self.peak_at_s = now_s
-        self.peak = max(self.peak, self.busy)
+            self._count_working()
+        elif self.busy > self.peak:
+            self.peak = self.busy
+            self._count_working()
+
+    def _count_working(self) -> None:
+        usable = USABLE_PART * self.share.usable
+        self.working = min(WORKING_SET * max(self.peak, self.earlier_peak) + WORKING_LEAST, usable)
 
     def _learn_gap(self, gap_s: float) -> None:
         self.gap_deviation_s += DEVIATION_GAIN * (abs(gap_s - self.gap_s) - self.gap_deviation_s)
@@ -260,9 +269,8 @@
 
     def surplus(self, now_s: float) -> list[Client]:
         """Idle connections that nobody seems to come back for, while more are held than are of use."""
-        least = min(WORKING_SET * max(self.peak, self.earlier_peak) + WORKING_LEAST, self._usable())
         found: list[Client] = []
-        while self.asked > least and len(found) < SURPLUS_AT_ONCE:
+        while self.asked > self.working and len(found) < SURPLUS_AT_ONCE:
             client = self._unused(now_s)
             if client is None:
                 break
@@ -270,9 +278,6 @@
             found.append(client)
         return found
 
-    def _usable(self) -> float:
-        return USABLE_PART * self.share.usable
-
     def _unused(self, now_s: float) -> Client | None:
         gap_s = max(self.gap_s + GAP_DEVIATIONS * self.gap_deviation_s, GAP_LEAST_S)
         for state in IDLE:
@@ -293,6 +298,7 @@
     def resize(self, share: Share, caps: Caps, now_s: float) -> list[Client]:
         """Take other limits; returns whom the smaller ones have no room for, of those that may leave."""
         self.share = share
+        self._count_working()
         self.addresses.apply(caps)
         found: list[Client] = []
         while self.count > share.connections and (client := self.release(now_s)) is not None:
--- /dev/null
+++ b/dykefold/net/deadlines.py
@@ -0,0 +1,80 @@
+"""Time limits of requests and attempts, nearly none of which is ever met.
+
+A timer of the loop costs some microseconds to start and to cancel, and each request needs two. Here a
+limit is an entry in the bucket of its tick, and one timer of the loop waits for the first bucket that is
+left (as the lower wheel of Varghese and Lauck, "Hashed and hierarchical timing wheels", SOSP 1987).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from time import monotonic
+
+TICK_S = 0.002  # how late a limit may ring; the margins before a client's deadline are 8 and 15 ms
+
+
+class Limited:
+    """Something with one time limit at a time."""
+
+    __slots__ = ("tick",)
+
+    tick: int  # of its limit; 0: none
+
+    def expire(self) -> None:
+        """The limit is met; called once, from the loop."""
+        raise NotImplementedError
+
+
+class Deadlines:
+    """The limits that are running. Their number is that of open requests and attempts, twice at most."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.buckets: dict[int, dict[Limited, None]] = {}
+        self.ticks: list[int] = []  # a heap of the buckets' ticks, also of those that are empty and gone
+        self.timer: asyncio.TimerHandle | None = None
+        self.rings_at = 0
+
+    def start(self, item: Limited, after_s: float, now_s: float) -> None:
+        """Have an item expire after this time and at most a tick more."""
+        tick = item.tick = int((now_s + after_s) / TICK_S) + 1
+        bucket = self.buckets.get(tick)
+        if bucket is not None:
+            bucket[item] = None
+            return
+        self.buckets[tick] = {item: None}
+        heapq.heappush(self.ticks, tick)
+        if self.timer is None or tick < self.rings_at:
+            self._arm(now_s)
+
+    def stop(self, item: Limited) -> None:
+        """The item is over; again it does nothing."""
+        bucket = self.buckets.get(item.tick)
+        if bucket is not None:
+            bucket.pop(item, None)
+            if not bucket:
+                del self.buckets[item.tick]
+        item.tick = 0
+
+    def _arm(self, now_s: float) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        while self.ticks and self.ticks[0] not in self.buckets:
+            heapq.heappop(self.ticks)
+        if self.ticks:
+            self.rings_at = self.ticks[0]
+            self.timer = self.loop.call_later(max(self.rings_at * TICK_S - now_s, 0.0), self._ring)
+
+    def _ring(self) -> None:
+        self.timer = None
+        now_s = monotonic()
+        due = int(now_s / TICK_S + 0.5)  # the loop's own clock may be a part of a millisecond behind
+        while self.ticks and self.ticks[0] <= due:
+            bucket = self.buckets.get(heapq.heappop(self.ticks))
+            while bucket:  # one that expires may stop others
+                item = next(iter(bucket))
+                self.stop(item)
+                item.expire()
+        self._arm(now_s)
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -7,7 +7,6 @@
 import math
 import socket
 from collections import deque
-from dataclasses import dataclass
 from time import monotonic, monotonic_ns, time_ns
 
 from .. import interface as api
@@ -20,6 +19,7 @@
 from ..logic import Balancer
 from ..settings import Transport
 from .backlog import Backlog
+from .deadlines import Deadlines, Limited
 from .discovery import Discovery, Listed, Names, News
 from .front import BODY_MOST, Call, Front, Grammar
 from .limits import Memory
@@ -52,29 +52,46 @@
     def now(self) -> int:
         return self.offset + monotonic_ns()
 
+    def at(self, now_s: float) -> int:
+        """What `now` would give at a time of the monotonic clock, to some hundred nanoseconds."""
+        return self.offset + int(now_s * SECOND)
 
-@dataclass(slots=True)
-class Attempt:
-    request: int
-    number: int
-    server: int
-    sent_ns: int
-    exchange: Exchange | None = None
 
+class Attempt(Exchange):
+    """One try of a request at one server."""
 
-@dataclass(slots=True)
-class Held:
-    """A request that this sidecar has taken."""
+    __slots__ = ("held", "number", "sent_ns", "server")
 
-    id: int
-    call: Call
-    front: Front
-    timer: asyncio.TimerHandle | None = None
-    attempts: int = 0
-    out: int = 0  # of these, attempts that have not ended
-    claims: int = 1  # descriptors set aside for it
-    may_have_run: bool = False  # some attempt has ended without a proof that it did not
-    owed: bool = True  # its final answer
+    def __init__(self, held: Held, number: int, server: int, sent_ns: int) -> None:
+        super().__init__(b"", held.ended, BODY_MOST)
+        self.held = held
+        self.number = number
+        self.server = server
+        self.sent_ns = sent_ns
+
+
+class Held(Limited):
+    """A request that this sidecar has taken. Its limit is the last guard on its answer."""
+
+    __slots__ = ("attempts", "call", "claims", "engine", "front", "id", "may_have_run", "out", "owed")
+
+    def __init__(self, ident: int, call: Call, front: Front, engine: Engine) -> None:
+        self.tick = 0
+        self.id = ident
+        self.call = call
+        self.front = front
+        self.engine = engine
+        self.attempts = 0
+        self.out = 0  # of these, attempts that have not ended
+        self.claims = 1  # descriptors set aside for it
+        self.may_have_run = False  # some attempt has ended without a proof that it did not
+        self.owed = True  # its final answer
+
+    def expire(self) -> None:
+        self.engine.guard(self)
+
+    def ended(self, attempt: Exchange, status: Status, answer: Answer | None) -> None:
+        self.engine.end_attempt(self, attempt, status, answer)  # type: ignore[arg-type]
 
 
 class Engine:
@@ -95,7 +112,8 @@
         self.settings = settings
         self.max_open = transport.max_open
         self.names = names
-        self.now = Clock().now
+        self.clock = Clock()
+        self.now = self.clock.now
         self.balancer = Balancer(settings, seed)
         self.grammar = Grammar(settings)
         self.reports = Reports(settings.report_columns)
@@ -105,6 +123,7 @@
         self.clients = Clients(Admission(self._share(), caps or Caps()))
         connect_timeout = settings.connect_timeout_ns / SECOND or 1.0
         self.backlog = Backlog(loop)
+        self.deadlines = Deadlines(loop)
         self.upstreams = Upstreams(
             loop,
             self.budget.upstreams,
@@ -112,6 +131,7 @@
             connect_timeout,
             transport.conn_idle_ns / SECOND,
             self.backlog,
+            self.deadlines,
         )
         self.discovery = Discovery(
             loop, discovery, names, known.version, self.on_news, pushed=not settings.must_ask
@@ -225,13 +245,13 @@
 
     def take(self, front: Front, call: Call) -> None:
         """Take an admitted request: from here on it is owed one final answer."""
-        held = Held(self.next_id, call, front)
+        held = Held(self.next_id, call, front, self)
         call.ticket = held.id
         self.next_id += 1
         self.held[held.id] = held
-        now = self.now()
-        left = max(call.deadline_ns - GUARD_MARGIN_NS - now, 0)
-        held.timer = self.loop.call_later(left / SECOND, self._guard, held)
+        now_s = monotonic()
+        left = max(call.deadline_ns - GUARD_MARGIN_NS - self.clock.at(now_s), 0)
+        self.deadlines.start(held, left / SECOND, now_s)
         self.post(
             api.Request(
                 held.id,
@@ -245,18 +265,14 @@
             )
         )
 
-    def _guard(self, held: Held) -> None:
+    def guard(self, held: Held) -> None:
         """Time is up: whatever the module still plans, the client gets its answer now."""
         if not held.owed:
             return
         for number in range(held.attempts):
             attempt = self.attempts.get((held.id, number))
-            if attempt is None:
-                continue
-            if attempt.exchange is not None:
-                attempt.exchange.give_up(Status.TIMEOUT)
-            else:  # it failed while it was being made, with nothing written
-                self._end_attempt(held, attempt, Status.MOOT, None)
+            if attempt is not None:
+                attempt.give_up(Status.TIMEOUT)
         if held.owed:
             if held.may_have_run:
                 self._finish(held, 504, b"", b"failed: out of time\n")
@@ -275,14 +291,14 @@
         self._unclaim(held)
         self.old_ids.append((monotonic(), held.call.ident))
         self.held.pop(held.id, None)
-        if held.timer is not None:
-            held.timer.cancel()
+        self.deadlines.stop(held)
         if self.draining:
             self._end_if_done()
 
     def _unclaim(self, held: Held) -> None:
         """Give back what was set aside for attempts that no longer can be; one that is out keeps its own."""
-        while held.claims > max(held.out, held.owed):
+        needed = held.out or held.owed
+        while held.claims > needed:
             held.claims -= 1
             self.budget.unclaim()
 
@@ -302,21 +318,17 @@
         if held is None:
             return  # over already: the module was told, or will be by an event in the queue
         now = self.now()
-        attempt = Attempt(held.id, held.attempts, action.server, now)
+        attempt = Attempt(held, held.attempts, action.server, now)
         held.attempts += 1
         self.attempts[held.id, attempt.number] = attempt
         held.out += 1
         last = held.call.deadline_ns - ATTEMPT_MARGIN_NS - now
         wait = min(action.timeout_ns, last) if action.timeout_ns > 0 else last
         if held.attempts > self.settings.max_attempts or wait <= 0 or not self._claim_attempt(held):
-            self._end_attempt(held, attempt, Status.MOOT, None)
+            attempt.end(Status.MOOT)
             return
-
-        def done(_: Exchange, status: Status, answer: Answer | None) -> None:
-            self._end_attempt(held, attempt, status, answer)
-
-        attempt.exchange = Exchange(self._payload(held.call, wait), done, BODY_MOST)
-        self.upstreams.start(action.server, attempt.exchange, wait / SECOND)
+        attempt.payload = self._payload(held.call, wait)
+        self.upstreams.start(action.server, attempt, wait / SECOND)
 
     def _claim_attempt(self, held: Held) -> bool:
         """Whether a descriptor is set aside for one more attempt: always, unless two may be out at once."""
@@ -338,7 +350,7 @@
             call.body,
         )
 
-    def _end_attempt(self, held: Held, attempt: Attempt, status: Status, answer: Answer | None) -> None:
+    def end_attempt(self, held: Held, attempt: Attempt, status: Status, answer: Answer | None) -> None:
         """An attempt has ended: a whole 200 reaches the client, the module hears of all."""
         self.attempts.pop((held.id, attempt.number), None)
         held.out -= 1
@@ -357,8 +369,8 @@
 
     def _cancel(self, action: api.Cancel) -> None:
         attempt = self.attempts.get((action.id, action.attempt))
-        if attempt is not None and attempt.exchange is not None:
-            attempt.exchange.give_up(Status.CANCELLED)
+        if attempt is not None:
+            attempt.give_up(Status.CANCELLED)
 
     def _probe(self, server: int) -> None:
         started = self.now()
@@ -479,7 +491,7 @@
 
     def _answer_all(self) -> None:
         for held in list(self.held.values()):
-            self._guard(held)
+            self.guard(held)
 
     def _end_if_done(self) -> None:
         """The end has come when nobody is connected any more: every answer has been flushed."""
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -6,6 +6,7 @@
 import re
 from collections import deque
 from dataclasses import dataclass
+from functools import lru_cache
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
 LINGER = 2.0  # seconds in which a rejected client may still send, unheard, and read why
 DEADLINE = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 DEADLINE_UNITS = {b"m": 1_000_000, b"u": 1_000}
+DEADLINES_MOST = 256  # that are remembered: clients send the same few again and again
 COST = re.compile(rb"\d{1,12}(?:\.\d{1,9})?")
 REASONS = {
     200: b"OK",
@@ -88,6 +90,7 @@
     keep_alive: bool
 
 
+@lru_cache(maxsize=DEADLINES_MOST)
 def _parse_deadline(value: bytes) -> int:
     match = DEADLINE.fullmatch(value.strip())
     if match is None:
@@ -95,6 +98,11 @@
     return int(float(match[1]) * DEADLINE_UNITS[match[2]])
 
 
+def _too_long(length: bytes) -> bool:
+    # The first digits tell: the parser itself bounds how many there may be.
+    return length.isdigit() and int(length[:12]) > BODY_MOST
+
+
 class Grammar:
     """What the settings say of requests: which classes and tenants there are."""
 
@@ -197,7 +205,6 @@
         self.body: bytes | bytearray = b""
         self.body_size = 0
         self.size = 0  # of all that came of this message
-        self.header_size = 0
         self.message_size = 0  # of what is held of it
         self.in_body = False
 
@@ -325,26 +332,28 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_body:  # a trailer
             return
-        self.header_size += len(name) + len(value) + len(b": \r\n")
         low = name.lower()
-        if low in SINGLE and low in self.headers:
+        headers = self.headers
+        if low in headers and low in SINGLE:
             self.doubled = True
-        self.headers[low] = value
+        headers[low] = value
         if low not in NOT_PASSED_ON:
-            self.lines.append(name + b": " + value + b"\r\n")
+            self.lines.append(b"%b: %b\r\n" % (name, value))
 
     def on_headers_complete(self) -> None:
         self.in_body = True
-        length = self.headers.get(b"content-length", b"")
-        if self.header_size + len(self.target) > HEADERS_MOST or len(self.lines) > HEADER_LINES_MOST:
+        headers = self.headers
+        size = sum(map(len, self.lines)) + len(self.target)
+        if size > HEADERS_MOST or len(self.lines) > HEADER_LINES_MOST:
             self._reject(431, "headers are too long")
-        elif self.headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
+        elif b"transfer-encoding" in headers and headers[b"transfer-encoding"].lower() != b"chunked":
             self._reject(501, "Transfer-Encoding must be chunked")
-        elif length.isdigit() and int(length[:12]) > BODY_MOST:
+        elif b"content-length" in headers and _too_long(headers[b"content-length"]):
             self._reject(413, "the body is too large")
         elif (
-            self._hold(self.header_size)
-            and self.headers.get(b"expect", b"").lower() == b"100-continue"
+            self._hold(size)
+            and b"expect" in headers
+            and headers[b"expect"].lower() == b"100-continue"
             and self.idle
         ):
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/dykefold/net/idle.py
+++ b/dykefold/net/idle.py
@@ -32,11 +32,15 @@
 
     def note(self, age_s: float, dead: bool, now_s: float) -> None:
         """Count a use of a connection that had stood idle for so long, and whether it was dead."""
+        place = bisect_right(EDGES_S, age_s) - 1 if age_s >= EDGES_S[1] else 0
         if self.every is not None:
-            self.every.note(age_s, dead, now_s)
-        place = bisect_right(EDGES_S, max(age_s, 0.0)) - 1
+            self.every._count(place, dead, now_s)
+        self._count(place, dead, now_s)
+
+    def _count(self, place: int, dead: bool, now_s: float) -> None:
         self.uses[place] += 1.0
-        self.dead[place] += dead
+        if dead:
+            self.dead[place] += 1.0
         if dead or now_s - self.faded_at_s >= FADE_EVERY_S:
             self.limit(now_s)
 
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 from ..admission.budget import Allowance
 from ..interface import State, Status
 from .backlog import SLICE_BYTES, Backlog, cut
+from .deadlines import Deadlines, Limited
 from .ends import sever
 from .idle import Ages
 from .limits import Memory
@@ -56,18 +58,19 @@
 Done = Callable[["Exchange", Status, Answer | None], None]
 
 
-class Exchange:
+class Exchange(Limited):
     """One request on its way to one server, until its one end."""
 
-    __slots__ = ("answer_most", "connection", "done", "opening", "payload", "timer")
+    __slots__ = ("answer_most", "connection", "deadlines", "done", "opening", "payload")
 
     def __init__(self, payload: bytes, done: Done, answer_most: int) -> None:
+        self.tick = 0
         self.payload = payload
         self.done: Done | None = done
         self.answer_most = answer_most
         self.connection: Connection | None = None  # once the first byte has gone out
         self.opening: asyncio.Task[None] | None = None  # while a connection is being made
-        self.timer: asyncio.TimerHandle | None = None
+        self.deadlines: Deadlines | None = None  # where its time limit runs
 
     @property
     def ended(self) -> bool:
@@ -78,10 +81,13 @@
         done, self.done = self.done, None
         if done is None:
             return
-        if self.timer is not None:
-            self.timer.cancel()
+        if self.tick and self.deadlines is not None:
+            self.deadlines.stop(self)
         done(self, status, answer)
 
+    def expire(self) -> None:
+        self.give_up(Status.TIMEOUT)
+
     def give_up(self, status: Status) -> None:
         """Stop waiting. Its connection is closed first, so that no later attempt overlaps with it."""
         if self.ended:
@@ -118,6 +124,8 @@
         self.target = target
         self.generation = target.generation
         self.sock = sock
+        self.came = select.poll()  # whether bytes or an end wait on it: an exception costs more to ask
+        self.came.register(sock, select.POLLIN)
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.unwritten = False
@@ -269,16 +277,11 @@
 
     # Ends
 
-    def send(self, exchange: Exchange) -> bool:
+    def send(self, exchange: Exchange, now: float) -> bool:
         """Write an exchange; False if the connection was found dead with nothing of it sent."""
         # Guards against the race with a server that closes an idle connection: its end may have come
         # while the loop was busy, and a request written after it would count as one that may have run.
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-            return False
-        except BlockingIOError:
-            pass
-        except OSError:
+        if self.came.poll(0):
             return False
         try:
             sent = self.sock.send(exchange.payload)
@@ -287,7 +290,7 @@
         except OSError:
             return False
         self._reset()
-        self.sent_at = monotonic()
+        self.sent_at = now
         self.stood = self.sent_at - self.idle_since if self.idle_since else -1.0
         self.exchange = exchange
         exchange.connection = self
@@ -303,11 +306,12 @@
         exchange, answer = self.exchange, self.whole
         assert exchange is not None and answer is not None
         self.exchange = None
+        now = monotonic()
         if self.stood >= 0.0:
-            self.target.ages.note(self.stood, False, monotonic())
+            self.target.ages.note(self.stood, False, now)
         self._let_go()
         if self.keep_alive and not self.unwritten and not self.stray:
-            self.upstreams.keep(self)
+            self.upstreams.keep(self, now)
         else:
             self.close()
         exchange.end(classify(answer), answer)
@@ -372,8 +376,10 @@
         connect_timeout: float,
         idle_most: float,
         backlog: Backlog | None = None,
+        deadlines: Deadlines | None = None,
     ) -> None:
         self.loop = loop
+        self.deadlines = deadlines or Deadlines(loop)
         self.backlog = backlog or Backlog(loop)
         self.allowance = allowance
         self.memory = memory
@@ -418,13 +424,15 @@
         if target is None or not target.takes_new:
             self.loop.call_soon(exchange.end, Status.CONNECT_FAILED)
             return
-        exchange.timer = self.loop.call_later(max(timeout, 0.001), exchange.give_up, Status.TIMEOUT)
+        now = monotonic()
+        exchange.deadlines = self.deadlines
+        self.deadlines.start(exchange, timeout, now)
         while target.idle:
             connection = self._take_idle(target)
-            if monotonic() - connection.idle_since > target.ages.limit_s:
+            if now - connection.idle_since > target.ages.limit_s:
                 connection.close()  # and so have all others of this server stood for too long
                 continue
-            if connection.send(exchange):
+            if connection.send(exchange, now):
                 return
             connection.close()  # found dead before anything was written: no attempt was made
         self._open(target, exchange)
@@ -471,14 +479,14 @@
         finally:
             target.opening.pop(exchange, None)
         if exchange.ended or exchange.connection is not None:  # it is over, or took one that came free
-            self.keep(connection)
-        elif connection.closed or not connection.send(exchange):
+            self.keep(connection, monotonic())
+        elif connection.closed or not connection.send(exchange, monotonic()):
             connection.close()
             exchange.end(Status.CONNECT_FAILED)
 
     # The pool
 
-    def keep(self, connection: Connection) -> None:
+    def keep(self, connection: Connection, now: float) -> None:
         target = connection.target
         if connection.closed or not target.takes_new or connection.generation != target.generation:
             connection.close()
@@ -486,14 +494,14 @@
         # One that waits for a connection of its own need not: the one that is being made is kept instead.
         if target.opening:
             exchange = next(iter(target.opening))
-            if connection.send(exchange):
+            if connection.send(exchange, now):
                 made = target.opening.pop(exchange)
                 if exchange.opening is not None:
                     self.unneeded[made] = exchange
             else:
                 connection.close()
             return
-        connection.idle_since = monotonic()
+        connection.idle_since = now
         target.idle[connection] = None
         self.idle[connection] = None
 
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -427,7 +427,7 @@
         await end
         (connection,) = pool.connections
         seen = weakref.ref(connection)
-        exchange_gone = exchange.done is None and exchange.timer.cancelled()
+        exchange_gone = exchange.done is None and not exchange.tick
         pool.close()
         del connection, exchange
         gc.disable()
