Module: the same decisions in fewer steps

Change: the forgetting time is worked out when the rate changes, groups lean only where sidecars outnumber servers, a first attempt skips the walk over earlier ones, draws by random() in place of randrange.

--- a/dykefold/admission/queues.py
+++ b/dykefold/admission/queues.py
@@ -1,8 +1,8 @@
 """Clients in one state, ordered by time and by how many of them one address holds.
 
-Every operation costs the same whatever is queued; the index by owner, on the average over changes.
- The levels are those of a frequency list (as in O(1)
-LFU caches): counts only ever change by one, so the highest level is found by stepping, not by a search.
+Every operation costs the same whatever is queued; the index by owner, on the average over changes. The
+levels are those of a frequency list (as in O(1) LFU caches): counts only ever change by one, so the
+highest level is found by stepping, not by a search.
 `OrderedDict` rather than `dict`: reading the first entry of a dict walks over all that were deleted
 before it, which a queue does all the time.
 """
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -266,6 +266,7 @@
         self.ready_count = 0
         self.rest: list[Server] = []  # those that are not sampled from
         self.sees_little = True
+        self.crowded = True  # there are more sidecars than servers
         self.set_size = 0
         self.has_safe = any(spec.effect is Effect.SAFE for spec in settings.classes)
         self.groups: dict[tuple[int, bool], Group] = {}
@@ -285,6 +286,7 @@
         self.deviation = [base / 2 for base in self.base]
         self.seen = [0] * len(self.base)
         self.rate = 0.0  # own requests answered per second, smoothed
+        self.forget = 1.0  # time in which an estimate halves its distance to the mean
         self.rate_at = 0
         self.retry_tokens = RETRY_SHARE * RETRY_RESERVE
         self.shortest = min(spec.deadline_ns for spec in settings.classes)
@@ -354,7 +356,7 @@
         if event.deadline_ns <= self.now:
             self._end(req)
             return
-        worth = self._worth_asking(req.cls)
+        worth = self._worth_asking(req.cls) if self.sees_little else 0.0
         asks = worth > 0.0 and self.random.random() < worth
         server = None if asks else self._pick(req)
         if server is None and not asks:
@@ -375,7 +377,7 @@
 
     def _worth_asking(self, cls: int) -> float:
         """How often two probes pay: what they save of the answers expected late, against their price."""
-        if not (self.sees_little and self.settings.can_probe and self.load_column is not None):
+        if not (self.settings.can_probe and self.load_column is not None):
             return 0.0
         late = math.exp(-self.settings.classes[cls].objective_ns / self.base[cls])  # latencies are near that
         return late * ASK_GAIN / max(self.settings.price_probe, 1e-6)
@@ -514,13 +516,14 @@
 
     def _slowness(self, server: Server) -> float:
         """Smoothed latency in class means, aged towards the mean, raised by an unanswered attempt."""
-        forget = FORGET_GAPS * max(self.ready_count, 1) / max(self.rate, 1.0) * SECOND
         mean = self._group(server).rel if self.sees_little else 1.0
         rel = server.rel if server.samples else mean
-        rel = mean + (rel - mean) * 0.5 ** ((self.now - server.heard) / forget)
+        rel = mean + (rel - mean) * 0.5 ** ((self.now - server.heard) / self.forget)
         if server.out:
-            cls = next(iter(server.out.values()))[1]
-            rel = max(rel, self._silence(server) / self.base[cls])
+            sent, cls, _ = next(iter(server.out.values()))
+            silence = (self.now - (sent if sent > server.last_ok else server.last_ok)) / self.base[cls]
+            if silence > rel:
+                return silence
         return rel
 
     def _silence(self, server: Server) -> float:
@@ -550,7 +553,7 @@
         """Two sampled of the own zone against two sampled of the others, which pay for the crossing."""
         if self.ejected and (trial := self._trial(req)):
             return trial
-        tried = {attempt[0] for attempt in req.attempts}
+        tried = {attempt[0] for attempt in req.attempts} if req.attempts else ()
         for fresh in (True, False):
             best = None
             lowest = 0.0
@@ -570,9 +573,11 @@
     def _sampled(self, req: Open, tried) -> list[tuple[Server, float]]:
         """Candidates, with what is added to their delay for crossing zones."""
         if not self.sees_little:
-            cross = self.cross * req.spec.objective_ns
             pairs = [(server, 0.0) for server in self._two(self.near, req, tried)]
-            return pairs + [(server, cross) for server in self._two(self.far, req, tried)]
+            if self.far:
+                cross = self.cross * req.spec.objective_ns
+                pairs += [(server, cross) for server in self._two(self.far, req, tried)]
+            return pairs
         # Too few own answers to know a zone or kind as overrun by its servers: two of the set, by weights
         # that follow what each group's answers took. The price of a crossing is in the weights.
         fit = [
@@ -620,8 +625,8 @@
         size = len(group)
         if not size:
             return found
-        at = self.random.randrange(size)
-        step = self.random.randrange(1, size) if size > 2 else 1
+        at = int(self.random.random() * size)
+        step = 1 + int(self.random.random() * (size - 1)) if size > 2 else 1
         for turn in range(size + 1):
             # The first two are a uniform pair; the walk over all beyond them only replaces unfit ones.
             ahead = turn * step if turn < 2 else turn - 1
@@ -640,6 +645,8 @@
         if not server.ready or not server.listed or req.streaming:
             return False
         attempts = req.attempts
+        if not attempts:
+            return not server.started or self._cold_allows(server, req.cls, False)
         if len(attempts) >= self.settings.max_attempts:
             return False
         spec = req.spec
@@ -678,7 +685,8 @@
             server.trial_out = True
         else:
             self.inflight += 1
-        self._cold_allows(server, req.cls, True)
+        if server.started:
+            self._cold_allows(server, req.cls, True)
         # No time-out of its own: an overdue attempt is judged by what its server did meanwhile.
         self.actions.append(Send(req.id, server.id))
         self._at(now + overdue, OVERDUE, req.id, number)
@@ -687,11 +695,14 @@
         tau = self.settings.overload_for_ns
         self.rate = self.rate * max(0.0, 1.0 - (self.now - self.rate_at) / tau) + SECOND / tau
         self.rate_at = self.now
+        self.forget = FORGET_GAPS * max(self.ready_count, 1) / max(self.rate, 1.0) * SECOND
 
     def _overdue_after(self, server: Server, cls: int, left: int) -> int:
         """When to doubt an attempt: a slow server is given its time, lest load looks like loss."""
-        usual = self.base[cls] + OVERDUE_DEVIATIONS * self.deviation[cls]
-        usual = max(usual, OVERDUE_AT_LEAST * self.base[cls]) * max(server.rel, 1.0)
+        base = self.base[cls]
+        usual = max(base + OVERDUE_DEVIATIONS * self.deviation[cls], OVERDUE_AT_LEAST * base)
+        if server.rel > 1.0:
+            usual *= server.rel
         return int(min(usual, OVERDUE_AT_MOST * left)) + 1
 
     # Repeating: full jitter, one bounded budget
@@ -793,8 +804,10 @@
             if server.ejected:
                 self._readmit(server)
             self._sample(server, took / base)
-            self._heed(server, event.report, took / base)
-            self._overtake(server, sent)
+            if event.report:
+                self._heed(server, event.report, took / base)
+            if server.out:
+                self._overtake(server, sent)
         elif status is Status.FULL:
             self._sample(server, max(FULL_SAMPLE, server.rel))
             server.last_ok = self.now  # busy, but alive
@@ -819,7 +832,8 @@
         weight = max(SMOOTHING, 1.0 / (server.samples + 2), fresh if self.sees_little else 0.0)
         rel = min(rel, SAMPLE_LIMIT)
         server.rel += weight * (rel - server.rel)
-        self._lean(server, rel)
+        if self.crowded:
+            self._lean(server, rel)
         server.samples += 1
         server.heard = self.now
 
@@ -857,7 +871,7 @@
         Guards against a network or servers that drop some answers and give the others in time: taken for
         late ones, a tenth of lost answers halved the limit. It is no reason to call one off and repeat it.
         """
-        gone = []
+        gone: list[tuple[int, int]] = []
         for key, out in server.out.items():
             if out[0] >= sent:
                 break
@@ -941,13 +955,15 @@
             del self.servers[server.id]  # else memory grows with every server that ever was
         ready = [server for server in self.servers.values() if server.ready and server.listed]
         self.ready_count = len(ready)
+        self.forget = FORGET_GAPS * max(self.ready_count, 1) / max(self.rate, 1.0) * SECOND
         self.ejected = [server for server in ready if server.ejected]
         here = self.settings.zone
         near = [server for server in ready if server.zone == here and not server.ejected]
         far = [server for server in ready if server.zone != here and not server.ejected]
         size = self.set_size = self._set_size()
         # Where servers outnumber sidecars each makes much of a server's load, whatever it sends just now.
-        self.sees_little = size < len(ready) < self.settings.fleet_size
+        self.crowded = len(ready) < self.settings.fleet_size
+        self.sees_little = self.crowded and size < len(ready)
         if self.sees_little:
             near.sort(key=lambda server: server.rank)  # the same ones as long as they are fit
             far.sort(key=lambda server: server.rank)
@@ -1157,7 +1173,10 @@
     def _unit(self, cls: int) -> float:
         """The latency of a class at which pressure is 1."""
         aim = self.settings.classes[cls].objective_ns
-        return min(max(PRESSURE_AIM * aim, PRESSURE_USUAL * self.usual[cls]), PRESSURE_AIM_MOST * aim)
+        usual = PRESSURE_USUAL * self.usual[cls]
+        if usual <= PRESSURE_AIM * aim:
+            return PRESSURE_AIM * aim
+        return min(usual, PRESSURE_AIM_MOST * aim)
 
     def _learn_usual(self, cls: int, took: int) -> None:
         known = self.seen[cls]
@@ -1181,12 +1200,12 @@
         self.press_count += 1.0
 
     def _fade_pressure(self) -> None:
-        span = max(PRESSURE_SPAN * self.shortest, PRESSURE_SAMPLES * SECOND / max(self.rate, 1.0))
-        span = min(span, self.shortest)
-        fade = 0.5 ** ((self.now - self.pressed_at) / span)
-        self.pressed_at = self.now
-        self.press_sum *= fade
-        self.press_count *= fade
+        if self.now > self.pressed_at:
+            span = max(PRESSURE_SPAN * self.shortest, PRESSURE_SAMPLES * SECOND / max(self.rate, 1.0))
+            fade = 0.5 ** ((self.now - self.pressed_at) / min(span, self.shortest))
+            self.pressed_at = self.now
+            self.press_sum *= fade
+            self.press_count *= fade
         self.pressure = (self.press_sum + PRESSURE_PRIOR * PRESSURE_PRIOR_WEIGHT) / (
             self.press_count + PRESSURE_PRIOR_WEIGHT
         )
