--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -284,7 +284,6 @@
         self.timer_token = 0
         self.base = [spec.objective_ns * UNKNOWN_LATENCY for spec in settings.classes]
         self.deviation = [base / 2 for base in self.base]
-        self.answered = list(self.base)  # the same of answers alone, which lost ones do not raise
         self.seen = [0] * len(self.base)
         self.rate = 0.0  # own requests answered per second, smoothed
         self.forget = 1.0  # time in which an estimate halves its distance to the mean
@@ -800,7 +799,6 @@
             self.seen[cls] += 1
             self.deviation[cls] += weight * (abs(took - base) - self.deviation[cls])
             self.base[cls] = base + weight * (took - base)
-            self.answered[cls] += weight * (took - self.answered[cls])
             self._count_answer()
             server.strikes = 0.0
             server.last_ok = self.now
@@ -853,10 +851,9 @@
             return
         silent = server.last_ok <= sent
         key = (req.id, number)
-        if not silent and (not first or server.out[key][2] >= LOST_OVERTAKEN):
-            self._write_off(server, key)  # later ones have come back: it is lost rather than late
-        elif not first:
-            pass
+        if not first:
+            if not silent:
+                self._write_off(server, key)
         elif not silent:
             if key not in server.lost:
                 self._press(server, req.cls, sent, self.now - sent)  # late news is no use: count it while it waits
@@ -881,7 +878,7 @@
                 break
             out[2] += 1
             if out[2] >= LOST_OVERTAKEN and key not in server.lost:
-                usual = self.answered[out[1]] * max(server.rel, 1.0)
+                usual = self.base[out[1]] * max(server.rel, 1.0)
                 if self.now - out[0] >= LOST_AT_LEAST * usual:
                     gone.append(key)
         for key in gone:
