--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -626,8 +626,8 @@
         size = len(group)
         if not size:
             return found
-        at = int(self.random.random() * size)
-        step = 1 + int(self.random.random() * (size - 1)) if size > 2 else 1
+        at = self._below(size)
+        step = 1 + self._below(size - 1) if size > 2 else 1
         for turn in range(size + 1):
             # The first two are a uniform pair; the walk over all beyond them only replaces unfit ones.
             ahead = turn * step if turn < 2 else turn - 1
@@ -639,6 +639,14 @@
                 break
         return found
 
+    def _below(self, count: int) -> int:
+        """A number from 0 to count - 1, as `randrange` draws it, without its checks."""
+        bits = count.bit_length()
+        number = self.random.getrandbits(bits)
+        while number >= count:
+            number = self.random.getrandbits(bits)
+        return number
+
     # Sending: every send passes _may_send, every refusal _may_refuse
 
     def _may_send(self, req: Open, server: Server) -> bool:
