--- a/dykefold/net/backlog.py
+++ b/dykefold/net/backlog.py
@@ -10,8 +10,11 @@
 
 import asyncio
 from collections import deque
+from time import monotonic
 from typing import Protocol
 
+from .lag import Lag
+
 SLICE_BYTES = 2048  # at 18 bytes a request 113 of them: 2 to 3 ms, and a usual message is shorter
 SLICES_A_TURN = 2  # of all connections together
 
@@ -29,8 +32,9 @@
 class Backlog:
     """The connections whose input waits, each at most once."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, lag: Lag | None = None) -> None:
         self.loop = loop
+        self.lag = lag
         self.queue: deque[Reader] = deque()
 
     def add(self, reader: Reader) -> None:
@@ -39,12 +43,15 @@
             self.loop.call_soon(self._turn)
 
     def _turn(self) -> None:
+        began_s = monotonic()
         for _ in range(min(SLICES_A_TURN, len(self.queue))):
             reader = self.queue.popleft()
             if reader.feed_slice():
                 self.queue.append(reader)
         if self.queue:
             self.loop.call_soon(self._turn)
+        if self.lag is not None:
+            self.lag.took(began_s, "slices of long input")
 
 
 def cut(data: memoryview) -> tuple[bytes, memoryview | None]:
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -22,6 +22,7 @@
 from .deadlines import Deadlines, Limited
 from .discovery import Discovery, Listed, Names, News
 from .front import BODY_MOST, Call, Front, Grammar
+from .lag import Lag
 from .limits import Memory
 from .peers import Address, Peers
 from .reports import Reports
@@ -122,7 +123,8 @@
         self.memory = Memory(memory)
         self.clients = Clients(Admission(self._share(), caps or Caps()))
         connect_timeout = settings.connect_timeout_ns / SECOND or 1.0
-        self.backlog = Backlog(loop)
+        self.lag = Lag(loop)
+        self.backlog = Backlog(loop, self.lag)
         self.deadlines = Deadlines(loop)
         self.upstreams = Upstreams(
             loop,
@@ -397,6 +399,7 @@
             self._apply(news)
 
     def _apply(self, news: News, kind: api.ListKind | None = None) -> None:
+        began_s = monotonic()
         # The module first, so that what the sockets then give up is not sent to the same server again.
         self.post(news.membership(kind))
         if news.complete:
@@ -407,6 +410,7 @@
             self._apply_entry(entry)
         # After changes too: on a day of replacements no whole list may ever come.
         self.names.keep(set(self.balancer.servers) | set(self.upstreams.targets))
+        self.lag.took(began_s, f"a list of {len(news.entries)} servers")
 
     def _apply_entry(self, entry: Listed) -> None:
         endpoint = entry.endpoint
@@ -504,6 +508,7 @@
 
     def close(self) -> None:
         """Let go of all sockets."""
+        self.lag.close()
         self.discovery.close()
         self.upstreams.close()
         if self.peers is not None and self.peers.transport is not None:
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from functools import lru_cache
 from hashlib import blake2b
+from time import monotonic
 from typing import TYPE_CHECKING
 
 import httptools
@@ -230,7 +231,9 @@
         if self.deaf or self.closed:
             return
         if len(data) <= SLICE_BYTES:
+            began_s = monotonic()
             self._feed(data)
+            self.engine.lag.took(began_s, "a client's message")
             return
         # What can be told from the first slice, such as that nothing of it is of use, need not be held.
         self._feed(data[:SLICE_BYTES])
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -172,7 +172,10 @@
 
     def data_received(self, data: bytes) -> None:
         if len(data) <= SLICE_BYTES:
+            began_s = monotonic()
             self._feed(data, False)
+            if self.upstreams.lag is not None:
+                self.upstreams.lag.took(began_s, "a server's answer")
             return
         assert self.transport is not None
         self.transport.pause_reading()
@@ -381,6 +384,7 @@
         self.loop = loop
         self.deadlines = deadlines or Deadlines(loop)
         self.backlog = backlog or Backlog(loop)
+        self.lag = self.backlog.lag
         self.allowance = allowance
         self.memory = memory
         self.connect_timeout = connect_timeout
--- /dev/null
+++ b/tests/test_net_hostile.py
@@ -0,0 +1,191 @@
+"""Messages made to cost more than they weigh: work by the byte, in turns, with the same result."""
+
+import asyncio
+import logging
+import re
+import sys
+import time
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from net_helpers import MS, WAIT, Sidecar, config, message, news, run, until
+
+from dykefold.net.backlog import SLICE_BYTES, SLICES_A_TURN
+from dykefold.net.front import BODY_MOST, HEADERS_MOST, Front
+from dykefold.net.reports import Reports
+
+CALLS_A_BYTE = 1.5  # Python calls: the worst are requests of 18 bytes, with some twenty for each
+CALLS_AT_ONCE = 200  # ... and so many whatever comes
+
+
+class Wire:
+    """A transport that keeps what is written."""
+
+    def __init__(self):
+        self.written = b""
+        self.reading = True
+        self.closing = False
+
+    def write(self, data):
+        self.written += data
+
+    def is_closing(self):
+        return self.closing
+
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
+    def close(self):
+        self.closing = True
+
+    def set_write_buffer_limits(self, high):
+        assert high == 0
+
+    write_eof = abort = close
+
+
+class Meter:
+    """The most Python calls in one turn, over what its bytes allow."""
+
+    def __init__(self):
+        self.calls = 0
+        self.worst = 0.0
+
+    def _count(self, frame, event, _):
+        self.calls += event == "call"
+
+    def run(self, size, work, *args):
+        self.calls = 0
+        before = sys.getprofile()
+        sys.setprofile(self._count)
+        try:
+            return work(*args)
+        finally:
+            sys.setprofile(before)
+            self.worst = max(self.worst, self.calls / (CALLS_AT_ONCE + CALLS_A_BYTE * size))
+
+
+async def feed(sidecar, pieces):
+    """Give pieces to a front as a transport would; its wire, the front and the meter."""
+    engine = sidecar.engine
+    client, _ = engine.clients.admit("127.9.9.9")
+    front, wire, meter = Front(engine, client), Wire(), Meter()
+    engine.clients.add(front)
+    front.connection_made(wire)
+    turn = engine.backlog._turn
+    engine.backlog._turn = lambda: meter.run(SLICES_A_TURN * SLICE_BYTES, turn)
+    for piece in pieces:
+        async with asyncio.timeout(WAIT):
+            while not wire.reading and not wire.closing:
+                await asyncio.sleep(0)
+        meter.run(min(len(piece), SLICE_BYTES), front.data_received, piece)
+    async with asyncio.timeout(WAIT):
+        while front.unfed is not None or front.current is not None:
+            await asyncio.sleep(0)
+    front.connection_lost(None)
+    engine.backlog._turn = turn
+    assert not engine.memory.held
+    return wire, meter
+
+
+def chunked(size, cls="order"):
+    head = message(cls, f"{size:x}", "1m").split(b"\r\n\r\n")[0].rsplit(b"\r\n", 1)[0]
+    return head + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * size + b"0\r\n\r\n"
+
+
+LINES = b"GET /lookup/part HTTP/1.1\r\n" + b"a:\r\n" * ((HEADERS_MOST - 100) // 4) + b"\r\n"
+HOSTILE = {
+    "chunks of one byte": (chunked(BODY_MOST), 1 << 18, b" 503 "),
+    "header lines of four bytes": (LINES, 1 << 18, b" 431 "),
+    "requests of eighteen bytes": (b"GET / HTTP/1.1\r\n\r\n" * 5000, 1 << 18, b" 404 "),
+    "one long number": (message("order", deadline="1m")[:-6] + b"0" * 30000 + b"\r\n\r\n", 1 << 18, b" "),
+    "a head byte by byte": (b"GET /" + b"x" * 20000 + b" HTTP/1.1\r\n\r\n", 1, b" 404 "),
+    "a good order byte by byte": (message("order", deadline="1m", body=b"x" * 500), 1, b" 503 "),
+}
+
+
+def many(path, play):
+    async def inside():
+        async with Sidecar(path / "config.json", config(news(1))) as sidecar:
+            await play(sidecar)
+
+    run(inside())
+
+
+@pytest.mark.parametrize("kind", HOSTILE)
+def test_no_turn_does_more_than_its_bytes_are_worth(tmp_path, kind):
+    data, piece, answer = HOSTILE[kind]
+
+    async def play(sidecar):
+        pieces = (data[at : at + piece] for at in range(0, len(data), piece))
+        wire, meter = await feed(sidecar, pieces)
+        assert meter.worst <= 1.0
+        assert answer in wire.written.split(b"\r\n")[0]
+
+    many(tmp_path, play)
+
+
+def test_a_body_of_one_byte_chunks_is_gathered_in_linear_time(tmp_path):
+    """Guards against a sum over all pieces at each piece, which took ten seconds for this one."""
+
+    async def play(sidecar):
+        began = time.monotonic()
+        for number in range(3):
+            await feed(sidecar, [chunked(BODY_MOST - number)])
+        assert time.monotonic() - began < 10.0  # half a second here; thirty before
+
+    many(tmp_path, play)
+
+
+@settings(max_examples=30, derandomize=True, deadline=None)
+@given(
+    st.lists(st.sampled_from(["lookup", "order", "hold", "nothing"]), min_size=1, max_size=6),
+    st.lists(st.integers(1, 4000), min_size=1, max_size=40),
+    st.integers(0, 3000),
+)
+def test_however_it_is_cut_the_answers_are_the_same(tmp_path_factory, classes, sizes, body):
+    data = b"".join(
+        message(cls, f"{number:x}", "1m", b"b" * body if cls != "lookup" else b"")
+        for number, cls in enumerate(classes)
+    )
+
+    async def play(sidecar):
+        seen = []
+        for cut in (False, True):
+            sidecar.engine.ids.clear()
+            pieces, at = [], 0
+            for size in sizes if cut else []:
+                pieces.append(data[at : at + size])
+                at += size
+            pieces.append(data[at:])
+            wire, meter = await feed(sidecar, [piece for piece in pieces if piece])
+            assert meter.worst <= 1.0
+            seen.append(re.findall(rb"HTTP/1\.1 (\d+)", wire.written))
+        assert seen[0] == seen[1] and len(seen[0]) == len(classes)
+
+    many(tmp_path_factory.mktemp("cut"), play)
+
+
+def test_a_report_of_many_pairs_is_not_read():
+    assert Reports(("rps",)).read(b"rps=1," + b"x=1," * 10000) == ()
+
+
+def test_a_late_loop_is_told_once_with_what_ran(tmp_path, caplog):
+    async def play(sidecar):
+        lag = sidecar.engine.lag
+        with caplog.at_level(logging.WARNING):
+            for _ in range(2):
+                began = time.monotonic()
+                time.sleep(0.15)
+                lag.took(began, "a test that sleeps")
+                at = lag.due_s
+                await until(lambda: lag.due_s != at)  # noqa: B023
+        lines = [record.message for record in caplog.records if "late" in record.message]
+        assert len(lines) == 1 and "a test that sleeps" in lines[0]
+        assert lag.worst_s >= 100 * MS / 1e9
+
+    many(tmp_path, play)
