--- a/dykefold/admission/clients.py
+++ b/dykefold/admission/clients.py
@@ -29,9 +29,18 @@
     begun: bool  # a message has begun and not ended
     paused: bool  # it is not being read
     deaf: bool  # nothing more is read of it
-    busy: bool  # a request of it is open or waits, or an answer is on its way out
     messages: int  # whole ones so far
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request of it is open or waits, or an answer is on its way out."""
+        ...
+
+    @property
+    def idle(self) -> bool:
+        """Whether it can be closed without harm."""
+        ...
+
     def close(self) -> None: ...
 
     def expire(self) -> None: ...
--- a/dykefold/admission/listener.py
+++ b/dykefold/admission/listener.py
@@ -93,7 +93,7 @@
 
     async def _start(self, sock: socket.socket, guest: Guest) -> None:
         try:
-            await self.loop.connect_accepted_socket(lambda: guest, sock)  # type: ignore[arg-type, return-value]
+            await self.loop.connect_accepted_socket(lambda: guest, sock)  # type: ignore[type-var, arg-type, return-value]
         except (OSError, asyncio.CancelledError):
             sock.close()
             self.clients.remove(guest.client)
--- a/dykefold/admission/queues.py
+++ b/dykefold/admission/queues.py
@@ -18,7 +18,8 @@
 class Member(Protocol):
     """What a queue needs of a client: the owner that it counts against."""
 
-    owner: Hashable
+    @property
+    def owner(self) -> Hashable: ...
 
 
 M = TypeVar("M", bound=Member)
--- a/dykefold/admission/rules.py
+++ b/dykefold/admission/rules.py
@@ -217,7 +217,7 @@
     def _exit(self, client: Client) -> None:
         if client.state is State.BUSY:
             self.busy -= 1
-        else:
+        elif client.state is not None:
             self.sides[client.known].queues[client.state].discard(client)
 
     def _count_peak(self, now_s: float) -> None:
@@ -255,11 +255,13 @@
             return leaving.oldest()
         if silent:
             client = silent.greediest_oldest()
+            assert client is not None
             flood = len(silent) > FEW_SILENT * self.share.connections
             if flood or now_s - silent.since[client] >= YOUNG_S or not (once or kept):
                 return client
-        if reading and (client := reading.oldest()) in reading.until(now_s - SLOW_AFTER_S):
-            return client
+        slow = reading.oldest()
+        if slow is not None and reading.since[slow] <= now_s - SLOW_AFTER_S:
+            return slow
         for queue in (once, kept):
             if queue:
                 return queue.greediest_oldest()
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -11,6 +11,7 @@
 import math
 import random
 import struct
+from collections.abc import Callable
 
 from .interface import (
     Action,
@@ -203,7 +204,7 @@
         self.load = 0.0  # requests held, as last reported
         self.load_at = 0
         self.unit = 0.0  # smoothed latency for each request held, in class means; 0: not known
-        self.strikes = 0
+        self.strikes = 0.0
         self.ejected = False
         self.ejections = 0
         self.trial_at = 0
@@ -320,7 +321,7 @@
         self.watch_fails = 0
         self.watching = False
         self.log_at = 0
-        self.handlers = {
+        self.handlers: dict[type, Callable] = {
             Request: self._on_request,
             Outcome: self._on_outcome,
             Timer: self._on_timer,
@@ -364,10 +365,10 @@
             self._plan_repeat(req)
         elif not self._admit(req, self._value(event, req)):
             self._end(req)
-        elif asks:
-            self._ask(req)
-        else:
+        elif server is not None:
             self._send(req, server)
+        else:
+            self._ask(req)
 
     def _first_try(self, req: Open) -> None:
         server = self._pick(req)
@@ -415,7 +416,7 @@
     def _on_outcome(self, event: Outcome) -> None:
         server = self.servers.get(event.server)
         sent = server.out.pop((event.id, event.attempt), None) if server else None
-        if sent is not None:
+        if server is not None and sent is not None:
             lost = (event.id, event.attempt) in server.lost
             server.lost.discard((event.id, event.attempt))
             pressed = (event.id, event.attempt) in server.pressed
@@ -762,7 +763,7 @@
         if self._may_refuse(req):
             wait = 0
             if self.settings.retry_after:
-                left = max(req.deadline - self.now, 0)
+                left: float = max(req.deadline - self.now, 0)
                 spare = req.spec.objective_ns - req.age - self.usual[req.cls]
                 if spare > 0.0:
                     left = min(left, spare)  # another try may still be in time; a later one hardly earns
@@ -1249,16 +1250,16 @@
                 if server.id not in present:
                     server.listed = False  # absent from a complete list: gone
         for entry in event.entries:
-            server = self.servers.get(entry.server)
-            if server is None:
+            known = self.servers.get(entry.server)
+            if known is None:
                 self.servers[entry.server] = Server(entry, self.random.random())
-            elif entry.started_ns != server.started or (entry.state is State.READY and not server.ready):
-                if server.ejected:
-                    self.inflight += server.waited_for()
-                server.restart(entry)
+            elif entry.started_ns != known.started or (entry.state is State.READY and not known.ready):
+                if known.ejected:
+                    self.inflight += known.waited_for()
+                known.restart(entry)
             else:
-                server.ready = entry.state is State.READY
-                server.zone, server.cell = entry.zone, entry.cell
+                known.ready = entry.state is State.READY
+                known.zone, known.cell = entry.zone, entry.cell
             self.servers[entry.server].listed = entry.state is not State.GONE
         before = len(self.near) + len(self.far)
         self._regroup()
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -7,7 +7,9 @@
 import math
 import socket
 from collections import deque
+from collections.abc import Callable
 from time import monotonic, monotonic_ns, time_ns
+from typing import Any
 
 from .. import interface as api
 from ..admission.addresses import Caps
@@ -146,6 +148,7 @@
         self.next_id = 1
         self.events: deque[api.Event] = deque()
         self.handling = False
+        self.carry_out = self._actions()
         self.draining = False
         self.taking = True
         self.stopped = loop.create_future()
@@ -164,6 +167,7 @@
         if self.handling:
             return
         self.handling = True
+        carry_out = self.carry_out
         try:
             while self.events:
                 event = self.events.popleft()
@@ -175,7 +179,7 @@
                     actions = self.balancer.actions
                 for action in actions:
                     try:
-                        self._act(action)
+                        carry_out[type(action)](action)
                     except Exception:
                         self.fault("an action failed")
         finally:
@@ -186,36 +190,34 @@
             self.reported_at = monotonic()
             log.exception(text)
 
-    def _act(self, action: api.Action) -> None:
-        kind = type(action)
-        if kind is api.Send:
-            self._send(action)
-        elif kind is api.SetTimer:
-            # Whole milliseconds, upwards: the loop counts in these, and an early bell rings for nothing.
-            self.loop.call_later(-(-action.after_ns // MS) / 1000, self.post, api.Timer(action.token))
-        elif kind is api.Refuse:
-            self._refuse(action)
-        elif kind is api.Fail:
-            held = self.held.get(action.id)
-            if held is not None:
-                self._finish(held, 502, b"", b"failed\n")
-        elif kind is api.Cancel:
-            self._cancel(action)
-        elif kind is api.Probe:
-            self._probe(action.server)
-        elif kind is api.CloseIdle:
-            self.upstreams.close_idle(action.server)
-        elif kind is api.Tell:
-            if self.peers is not None:
-                self.peers.tell(action.data, action.peer)
-        elif kind is api.Watch:
-            self.discovery.watch(action.on)
-        elif kind is api.Fetch:
-            self.discovery.fetch()
-        elif kind is api.Log:
-            log.info(action.text)
-        else:
-            raise TypeError(f"no action: {action!r}")
+    def _actions(self) -> dict[type, Callable[[Any], None]]:
+        """What carries out each kind of action."""
+        return {
+            api.Send: self._send,
+            api.SetTimer: self._set_timer,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Cancel: self._cancel,
+            api.Probe: lambda action: self._probe(action.server),
+            api.CloseIdle: lambda action: self.upstreams.close_idle(action.server),
+            api.Tell: self._tell,
+            api.Watch: lambda action: self.discovery.watch(action.on),
+            api.Fetch: lambda _: self.discovery.fetch(),
+            api.Log: lambda action: log.info(action.text),
+        }
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        # Whole milliseconds, upwards: the loop counts in these, and an early bell rings for nothing.
+        self.loop.call_later(-(-action.after_ns // MS) / 1000, self.post, api.Timer(action.token))
+
+    def _fail(self, action: api.Fail) -> None:
+        held = self.held.get(action.id)
+        if held is not None:
+            self._finish(held, 502, b"", b"failed\n")
+
+    def _tell(self, action: api.Tell) -> None:
+        if self.peers is not None:
+            self.peers.tell(action.data, action.peer)
 
     # Requests
 
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -223,9 +223,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        self.transport.set_write_buffer_limits(high=0)
+        transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
         if self.leaving:
-            self.transport.abort()
+            transport.abort()  # type: ignore[attr-defined]
 
     def data_received(self, data: bytes) -> None:
         if self.deaf or self.closed:
@@ -464,13 +464,15 @@
         try:
             while self.waiting and self.current is None and not self.unread and not self.closed:
                 item = self.waiting.popleft()
-                if type(item) is Call and (refusal := self.engine.admit(self, item)) is None:
-                    self.current = item
-                    self.engine.take(self, item)
-                elif type(item) is Call:
-                    self._release(item.size)
-                    self._respond(*refusal, item.keep_alive)
-                elif type(item) is Ready:
+                if isinstance(item, Call):
+                    refusal = self.engine.admit(self, item)
+                    if refusal is None:
+                        self.current = item
+                        self.engine.take(self, item)
+                    else:
+                        self._release(item.size)
+                        self._respond(*refusal, item.keep_alive)
+                elif isinstance(item, Ready):
                     ok = not self.engine.draining
                     text = b"ready\n" if ok else b"draining\n"
                     self._respond(200 if ok else 503, b"", text, item.keep_alive)
--- a/dykefold/net/peers.py
+++ b/dykefold/net/peers.py
@@ -30,7 +30,7 @@
         if number is not None and len(data) <= DATAGRAM_MOST:
             self.heard(number, data)
 
-    def error_received(self, exc: OSError) -> None:
+    def error_received(self, exc: Exception) -> None:
         """A datagram may be lost; that its receiver is down tells nothing that the module could use."""
 
     def tell(self, data: bytes, peer: int | None) -> None:
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -162,7 +162,7 @@
         self.transport = transport  # type: ignore[assignment]
         # Any byte that waits for the socket pauses writing, so `unwritten` tells whether the last one
         # has gone: the line between "never ran" and "may have run".
-        self.transport.set_write_buffer_limits(high=0)
+        transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
 
     def pause_writing(self) -> None:
         self.unwritten = True
--- a/dykefold/settings.py
+++ b/dykefold/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from . import interface as api
@@ -52,7 +53,7 @@
 class _Pairs:
     """Settings by their path, with errors that name it."""
 
-    def __init__(self, values: dict[str, object]) -> None:
+    def __init__(self, values: Mapping[str, object]) -> None:
         self.values = values
 
     def _convert(self, key: str, kind, default):
--- a/dykefold/wirehost.py
+++ b/dykefold/wirehost.py
@@ -170,30 +170,29 @@
     def _encode(self, i: int, actions: list[api.Action]) -> None:
         add = self.records.append
         for act in actions:
-            kind = type(act)
-            if kind is api.Send:
+            if isinstance(act, api.Send):
                 add(DISPATCH.pack(25, i, act.id, act.timeout_ns, act.server))
-            elif kind is api.SetTimer:
+            elif isinstance(act, api.SetTimer):
                 add(SET_TIMER.pack(27, i, act.after_ns, act.token))
-            elif kind is api.Refuse:
+            elif isinstance(act, api.Refuse):
                 add(TURN_AWAY.pack(23, i, act.id, act.retry_after_ns))
-            elif kind is api.Fail:
+            elif isinstance(act, api.Fail):
                 add(ABORT.pack(26, i, act.id))
-            elif kind is api.Cancel:
+            elif isinstance(act, api.Cancel):
                 add(RETRACT.pack(17, i, act.id, act.attempt))
-            elif kind is api.Tell:
+            elif isinstance(act, api.Tell):
                 peer = EVERY_PEER if act.peer is None else act.peer
                 add(SHARE.pack(16, i, peer, len(self.tail), len(act.data)))
                 self.tail += act.data
-            elif kind is api.Probe:
+            elif isinstance(act, api.Probe):
                 add(ONE_SERVER.pack(22, i, act.server))
-            elif kind is api.CloseIdle:
+            elif isinstance(act, api.CloseIdle):
                 add(ONE_SERVER.pack(20, i, act.server))
-            elif kind is api.Watch:
+            elif isinstance(act, api.Watch):
                 add(FOLLOW.pack(18, i, act.on))
-            elif kind is api.Fetch:
+            elif isinstance(act, api.Fetch):
                 add(RESOLVE.pack(24, i))
-            elif kind is api.Log:
+            elif isinstance(act, api.Log):
                 self._text(21, i, act.text)
             else:
                 raise TypeError(f"no action: {act!r}")
