--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -1200,7 +1200,7 @@
             step = 1.0 / (known + 1)
         else:
             step = min((self.now - self.usual_at[cls]) / (USUAL_SPAN * self.shortest), 0.1)
-            if self.pressure >= 1.0:
+            if self.pressure >= 1.0 or self.now - self.cut_at < self.shortest:
                 step *= USUAL_DRIFT
         self.usual_at[cls] = self.now
         self.usual[cls] += step * (took - self.usual[cls])
--- a/tests/test_flights.py
+++ b/tests/test_flights.py
@@ -1,8 +1,8 @@
-"""The limit on requests in flight: judged by flights, cut once for each, and back when answers are in time."""
+"""The limit on requests in flight: cut once for each flight, and back when answers are in time."""
 
+from helpers import MS, SECOND, make
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from helpers import MS, SECOND, make
 from test_overload import Feed
 
 from dykefold.interface import Effect, Refuse
@@ -58,7 +58,7 @@
     cuts = []
 
     def took(server):
-        # All that is sent within the stall comes back late, spread over 1.5 s; what is sent after it, in time.
+        # What is sent within the stall comes back late, over 1.5 s; what is sent after it, in time.
         if balancer.cut_at not in cuts:
             cuts.append(balancer.cut_at)
         return 400 * MS + 100 * MS * (server % 12) if feed.now < stall else IN_TIME
@@ -70,7 +70,7 @@
 def test_one_late_server_among_many_cuts_less_than_all_late():
     kept = {}
     for name, late in (("one", {100}), ("all", set(range(100, 100 + SERVERS)))):
-        balancer, feed = fleet()
+        _, feed = fleet()
         feed.run(3.0, OFFERED, lambda server: IN_TIME)
         log = feed.run(3.0, OFFERED, lambda server, late=late: 700 * MS if server in late else IN_TIME)
         kept[name] = refused(log)
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -62,7 +62,7 @@
     balancer.handle(now + 40 * MS, Outcome(2, 0, other.server, Status.OK, 40 * MS, True))
     counts = []
     real = balancer._add_pressure
-    balancer._add_pressure = lambda value: (counts.append(value), real(value))
+    balancer._add_pressure = lambda value, sent: (counts.append(value), real(value, sent))
     balancer.now = now = now + SECOND
     balancer._overdue(balancer.open[1], 0)
     assert len(counts) == 1 and server.pressed == {(1, 0)}
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -327,13 +327,13 @@
             engine = sidecar.engine
             (server,) = engine.upstreams.targets
             engine.balancer.handle = lambda now, event: heard.append(event) or []
-            engine._act(api.Probe(server))
+            engine.carry_out[api.Probe](api.Probe(server))
             await until(lambda: heard)
             assert heard[0].status is api.Status.OK and heard[0].report == (7.0, 0.5)
-            engine._act(api.CloseIdle(server))
+            engine.carry_out[api.CloseIdle](api.CloseIdle(server))
             assert not engine.upstreams.connections
             fake.server.close()
-            engine._act(api.Probe(server))
+            engine.carry_out[api.Probe](api.Probe(server))
             await until(lambda: len(heard) > 1)
             assert heard[1].status is api.Status.CONNECT_FAILED and heard[1].report == ()
 
