--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -304,7 +304,6 @@
         self.born = 0  # time of the first correction
         self.good = 0.0  # the limit after the first of the latest cuts
         self.pressed = False
-        self.cut_at = 0  # attempts sent before the latest cut tell nothing of what it did
         tenants = len(settings.tenants)
         self.asked = [0.0] * tenants  # first tries since the shares were judged
         self.asks = [0.0] * tenants  # first tries per second, smoothed
@@ -794,7 +793,7 @@
             self.done_units += self._unit(cls)
             if self.now - self.born < self.shortest and self.pressure <= 1.0:
                 self.limit += 1.0  # slow start (RFC 5681, 3.1): twice as much with each turn of the flight
-            self._press(server, cls, sent, took)
+            self._press(server, cls, took)
             weight = max(CLASS_SMOOTHING, 1.0 / (self.seen[cls] + 1))
             self.seen[cls] += 1
             self.deviation[cls] += weight * (abs(took - base) - self.deviation[cls])
@@ -812,14 +811,14 @@
         elif status is Status.FULL:
             self._sample(server, max(FULL_SAMPLE, server.rel))
             server.last_ok = self.now  # busy, but alive
-            self._add_pressure(PRESSURE_FULL, sent)
+            self._add_pressure(PRESSURE_FULL)
         elif status is Status.CANCELLED:
             if took / base > server.rel:
                 self._sample(server, took / base)
         else:
             self._sample(server, max(took / base, FAILURE_SAMPLE, server.rel))
             if status is Status.TIMEOUT and server.last_ok > sent and not (lost or pressed):
-                self._press(server, cls, sent, took)
+                self._press(server, cls, took)
             if status is not Status.TIMEOUT:
                 self._strike(server, 1.0, EJECT_SHARE)
             elif server.last_ok <= sent:
@@ -856,7 +855,7 @@
                 self._write_off(server, key)
         elif not silent:
             if key not in server.lost:
-                self._press(server, req.cls, sent, self.now - sent)  # late news is no use: count it while it waits
+                self._press(server, req.cls, self.now - sent)  # late news is no use: count it while it waits
                 server.pressed.add(key)
         else:  # one long piece of work must not condemn a server by itself
             self._strike(server, HINT_STRIKE, EJECT_SHARE_ON_SILENCE)
@@ -1102,13 +1101,9 @@
             # Little's law: at the rate of answers seen, so many in flight make the wanted latency. Unlike
             # repeated cuts it does not overshoot while the answers to an earlier crowd come in late.
             limit = min(self.limit, self.wanted_inflight / self.pressure)
-            self.cut_at = self.now
-            self.press_sum = self.press_count = 0.0
             if not self.pressed:  # later ones follow the few answers that this one leaves
                 self.pressed = True
                 self.good = limit
-        elif self.cut_at and not self.press_count:
-            limit = self.limit  # nothing that was sent since the cut has come back or is due
         else:
             self.pressed = False
             if self.now - self.born < self.shortest:
@@ -1194,15 +1189,12 @@
         self.usual_at[cls] = self.now
         self.usual[cls] += step * (took - self.usual[cls])
 
-    def _press(self, server: Server, cls: int, sent: int, latency: float) -> None:
+    def _press(self, server: Server, cls: int, latency: float) -> None:
         """Take one attempt's latency into the pressure, a mean that fades with time to its prior."""
         if not server.ejected:
-            self._add_pressure(latency / self._unit(cls), sent)
+            self._add_pressure(latency / self._unit(cls))
 
-    def _add_pressure(self, value: float, sent: int) -> None:
-        """Guards the limit against being cut again for a flight that it has been cut for already."""
-        if sent < self.cut_at:
-            return
+    def _add_pressure(self, value: float) -> None:
         self._fade_pressure()
         self.press_sum += min(value, PRESSURE_MOST)
         self.press_count += 1.0
