--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -305,6 +305,7 @@
         self.born = 0  # time of the first correction
         self.good = 0.0  # the limit after the first of the latest cuts
         self.pressed = False
+        self.cut_at = 0  # attempts sent before the latest cut tell nothing of what it did
         tenants = len(settings.tenants)
         self.asked = [0.0] * tenants  # first tries since the shares were judged
         self.asks = [0.0] * tenants  # first tries per second, smoothed
@@ -802,7 +803,7 @@
             self.done_units += self._unit(cls)
             if self.now - self.born < self.shortest and self.pressure <= 1.0:
                 self.limit += 1.0  # slow start (RFC 5681, 3.1): twice as much with each turn of the flight
-            self._press(server, cls, took)
+            self._press(server, cls, sent, took)
             weight = max(CLASS_SMOOTHING, 1.0 / (self.seen[cls] + 1))
             self.seen[cls] += 1
             self.deviation[cls] += weight * (abs(took - base) - self.deviation[cls])
@@ -820,14 +821,14 @@
         elif status is Status.FULL:
             self._sample(server, max(FULL_SAMPLE, server.rel))
             server.last_ok = self.now  # busy, but alive
-            self._add_pressure(PRESSURE_FULL)
+            self._add_pressure(PRESSURE_FULL, sent)
         elif status is Status.CANCELLED:
             if took / base > server.rel:
                 self._sample(server, took / base)
         else:
             self._sample(server, max(took / base, FAILURE_SAMPLE, server.rel))
             if status is Status.TIMEOUT and server.last_ok > sent and not (lost or pressed):
-                self._press(server, cls, took)
+                self._press(server, cls, sent, took)
             if status is not Status.TIMEOUT:
                 self._strike(server, 1.0, EJECT_SHARE)
             elif server.last_ok <= sent:
@@ -1112,9 +1113,13 @@
             # Little's law: at the rate of answers seen, so many in flight make the wanted latency. Unlike
             # repeated cuts it does not overshoot while the answers to an earlier crowd come in late.
             limit = min(self.limit, self.wanted_inflight / self.pressure)
+            self.cut_at = self.now
+            self.press_sum = self.press_count = 0.0
             if not self.pressed:  # later ones follow the few answers that this one leaves
                 self.pressed = True
                 self.good = limit
+        elif self.cut_at and not self.press_count:
+            limit = self.limit  # nothing that was sent since the cut has come back or is due
         else:
             self.pressed = False
             if self.now - self.born < self.shortest:
@@ -1200,12 +1205,15 @@
         self.usual_at[cls] = self.now
         self.usual[cls] += step * (took - self.usual[cls])
 
-    def _press(self, server: Server, cls: int, latency: float) -> None:
+    def _press(self, server: Server, cls: int, sent: int, latency: float) -> None:
         """Take one attempt's latency into the pressure, a mean that fades with time to its prior."""
         if not server.ejected:
-            self._add_pressure(latency / self._unit(cls))
+            self._add_pressure(latency / self._unit(cls), sent)
 
-    def _add_pressure(self, value: float) -> None:
+    def _add_pressure(self, value: float, sent: int) -> None:
+        """Guards the limit against being cut again for a flight that it has been cut for already."""
+        if sent < self.cut_at:
+            return
         self._fade_pressure()
         self.press_sum += min(value, PRESSURE_MOST)
         self.press_count += 1.0
