Learn at what age servers close idle connections from the closes themselves

Change: the graceful end of an idle connection counts as a dead use at its age, from 0.1 s on; ages are kept by server, by kind and for all, each the prior of the one below. Resets and the ends of young connections say nothing.

--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -427,7 +427,7 @@
             log.info("%s is server %d at %s:%d", entry.name, endpoint.server, *entry.address)
         elif target.since_ms != entry.since_ms:
             log.info("%s (%d) has restarted", entry.name, endpoint.server)
-        self.upstreams.update(endpoint.server, entry.address, entry.since_ms, endpoint.state)
+        self.upstreams.update(endpoint.server, entry.address, entry.since_ms, endpoint.state, endpoint.kind)
         if endpoint.state is State.GONE:
             self.upstreams.forget(endpoint.server)
 
--- a/dykefold/net/idle.py
+++ b/dykefold/net/idle.py
@@ -2,7 +2,7 @@
 
 A server may close idle connections sooner than it says, and the news of it may come later than the next
 request, which then ends as a reset: a failure for what may not be repeated. So the ages at which reused
-connections turned out dead are counted, by server and for all together, and no connection is used that
+connections turned out dead are counted, by server, by kind and for all together, and no connection is used that
 has stood for longer than the first age from which on clearly more of them die than of the youngest.
 """
 
@@ -20,7 +20,7 @@
 
 
 class Ages:
-    """What was seen at each age, of one server or, with no `every`, of all of them."""
+    """What was seen at each age: of one server, of the servers of its kind, of all (with no `every`)."""
 
     def __init__(self, most_s: float, every: Ages | None = None) -> None:
         self.most_s = most_s
@@ -32,12 +32,20 @@
 
     def note(self, age_s: float, dead: bool, now_s: float) -> None:
         """Count a use of a connection that had stood idle for so long, and whether it was dead."""
-        place = bisect_right(EDGES_S, age_s) - 1 if age_s >= EDGES_S[1] else 0
-        if self.every is not None:
-            self.every._count(place, dead, now_s)
-        self._count(place, dead, now_s)
+        self._count(bisect_right(EDGES_S, age_s) - 1 if age_s >= EDGES_S[1] else 0, dead, now_s)
+
+    def closed(self, age_s: float, now_s: float) -> None:
+        """Count that the server closed a connection that had stood idle for so long.
+
+        It tells what a request at that age would have met, before any request has to meet it. One that
+        has hardly stood idle says nothing of an idle limit: its server is going.
+        """
+        if age_s >= EDGES_S[YOUNG]:
+            self.note(age_s, True, now_s)
 
     def _count(self, place: int, dead: bool, now_s: float) -> None:
+        if self.every is not None:
+            self.every._count(place, dead, now_s)
         self.uses[place] += 1.0
         if dead:
             self.dead[place] += 1.0
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -216,6 +216,9 @@
     def eof_received(self) -> None:
         # An answer that only the end of the connection delimits cannot be told from one cut short, so
         # it is not passed on.
+        if self.exchange is None and not self.closed and self.idle_since:
+            now = monotonic()
+            self.target.ages.closed(now - self.idle_since, now)
         self._break()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -390,6 +393,7 @@
         self.connect_timeout = connect_timeout
         self.idle_most = idle_most * IDLE_PART
         self.ages = Ages(self.idle_most)  # of all servers
+        self.kinds: dict[int, Ages] = {}  # ... and of those of one kind
         self.targets: dict[int, Target] = {}
         self.connections: set[Connection] = set()
         self.idle: OrderedDict[Connection, None] = OrderedDict()  # of all targets, the longest idle first
@@ -397,11 +401,15 @@
 
     # The list
 
-    def update(self, server: int, address: tuple[str, int], since_ms: int, state: State) -> None:
+    def update(
+        self, server: int, address: tuple[str, int], since_ms: int, state: State, kind: int = 0
+    ) -> None:
         """Take news of a server. Idle connections to what it was before are of no use."""
         target = self.targets.get(server)
         if target is None:
-            target = self.targets[server] = Target(address, since_ms, Ages(self.idle_most, self.ages))
+            # Kinds are numbered by discovery's names, of which there is a bounded number.
+            alike = self.kinds.setdefault(kind, Ages(self.idle_most, self.ages))
+            target = self.targets[server] = Target(address, since_ms, Ages(self.idle_most, alike))
         elif target.since_ms != since_ms or target.address != address:
             self.close_idle(server)
             target.since_ms, target.address = since_ms, address
--- a/tests/test_net_ends.py
+++ b/tests/test_net_ends.py
@@ -126,6 +126,27 @@
     run(play())
 
 
+def test_an_answer_in_the_very_turn_in_which_it_is_given_up_ends_it_once():
+    async def play():
+        server = socket.create_server(("127.0.0.1", 0))
+        pool = make(server.getsockname())
+        ends = []
+        exchange = Exchange(PAYLOAD, lambda _, status, answer: ends.append(status), 99)
+        pool.start(1, exchange, WAIT)
+        while exchange.connection is None:
+            await asyncio.sleep(0.005)
+        peer, _ = server.accept()
+        peer.sendall(GOOD)
+        time.sleep(HELD)  # it has come; the loop has had no turn to read it
+        exchange.give_up(Status.TIMEOUT)
+        await asyncio.sleep(HELD)
+        assert ends == [Status.TIMEOUT] and not pool.connections
+        peer.close()
+        server.close()
+
+    run(play())
+
+
 def test_a_cancel_while_the_connect_completes_writes_nothing():
     async def play():
         server = socket.create_server(("127.0.0.1", 0))
--- a/tests/test_net_idle.py
+++ b/tests/test_net_idle.py
@@ -53,3 +53,21 @@
     uses(ages, 20, 0.3, 10)
     assert ages.limit(0.0) == 0.2
     assert ages.limit(60.0) == MOST
+
+
+def test_what_the_server_closes_unused_tells_before_any_request_dies():
+    every = Ages(MOST)
+    kind = Ages(MOST, every)
+    first, alike, other = Ages(MOST, kind), Ages(MOST, kind), Ages(MOST, Ages(MOST, every))
+    uses(other, 200, 0.3, 0)
+    for _ in range(3):
+        first.closed(0.3, 0.0)
+    assert first.limit(0.0) == alike.limit(0.0) == 0.2
+    assert other.limit(0.0) == MOST
+
+
+def test_a_server_that_goes_says_nothing_of_an_idle_limit():
+    ages = Ages(MOST)
+    for _ in range(20):
+        ages.closed(0.02, 0.0)
+    assert ages.limit(0.0) == MOST
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -472,3 +472,23 @@
     clock = [1000.0]
     monkeypatch.setattr(upstream, "monotonic", lambda: clock[0])
     run(play())
+
+
+def test_a_close_of_an_idle_connection_is_learned_as_it_comes():
+    """Guards requests against servers that close idle connections far sooner than the settings say."""
+
+    async def play():
+        async def act(message, reader, writer):
+            writer.write(reply())
+            await asyncio.sleep(0.15)
+            writer.close()
+
+        fake = await Fake(act).start()
+        pool = make((HOST, fake.port))
+        for _ in range(2):
+            assert (await start(pool)[1])[0] is Status.OK
+            await until(lambda: not pool.connections)
+        assert pool.targets[1].ages.limit_s <= 0.2
+        pool.close()
+
+    run(play())
