--- a/dykefold/net/idle.py
+++ b/dykefold/net/idle.py
@@ -2,8 +2,8 @@
 
 A server may close idle connections sooner than it says, and the news of it may come later than the next
 request, which then ends as a reset: a failure for what may not be repeated. So the ages at which reused
-connections turned out dead are counted, by server, by kind and for all together, and no connection is used that
-has stood for longer than the first age from which on clearly more of them die than of the youngest.
+connections turned out dead are counted, by server, by kind and for all together, and no connection is
+used that has stood for longer than the first age from which on clearly more of them die than of the youngest.
 """
 
 from __future__ import annotations
@@ -54,7 +54,8 @@
 
     def limit(self, now_s: float) -> float:
         """The age up to which connections are used, seconds; kept in `limit_s`."""
-        fade = 0.5 ** (max(now_s - self.faded_at_s, 0.0) / HALF_LIFE_S)
+        # The first time there is nothing to fade, or what was just counted would be lost.
+        fade = 0.5 ** (max(now_s - self.faded_at_s, 0.0) / HALF_LIFE_S) if self.faded_at_s else 1.0
         self.faded_at_s = now_s
         self.uses = [count * fade for count in self.uses]
         self.dead = [count * fade for count in self.dead]
