--- a/dykefold/net/idle.py
+++ b/dykefold/net/idle.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_right
 
 EDGES_S = (0.0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)  # of the classes of age
@@ -27,7 +28,7 @@
         self.every = every
         self.uses = [0.0] * len(EDGES_S)
         self.dead = [0.0] * len(EDGES_S)
-        self.faded_at_s = 0.0
+        self.faded_at_s = -math.inf  # not yet
         self.limit_s = most_s
 
     def note(self, age_s: float, dead: bool, now_s: float) -> None:
@@ -55,7 +56,8 @@
     def limit(self, now_s: float) -> float:
         """The age up to which connections are used, seconds; kept in `limit_s`."""
         # The first time there is nothing to fade, or what was just counted would be lost.
-        fade = 0.5 ** (max(now_s - self.faded_at_s, 0.0) / HALF_LIFE_S) if self.faded_at_s else 1.0
+        passed_s = now_s - self.faded_at_s if self.faded_at_s > -math.inf else 0.0
+        fade = 0.5 ** (max(passed_s, 0.0) / HALF_LIFE_S)
         self.faded_at_s = now_s
         self.uses = [count * fade for count in self.uses]
         self.dead = [count * fade for count in self.dead]
