--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -5,22 +5,23 @@
 import asyncio
 import re
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import lru_cache
 from hashlib import blake2b
 from time import monotonic
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import httptools
 
+from ..admission.clients import Clients
 from ..admission.rules import Client
 from ..interface import Effect, Settings
-from .backlog import SLICE_BYTES, cut
+from .backlog import SLICE_BYTES, Backlog, cut
+from .lag import Lag
+from .limits import Memory
 from .upstream import HOP_BY_HOP, gather
 
-if TYPE_CHECKING:
-    from .engine import Engine
-
 BODY_MOST = 64 * 1024
 HEADERS_MOST = 32 * 1024
 HEADER_LINES_MOST = 256  # each costs some hundred bytes beside its own; the usual limit is 100
@@ -175,10 +176,44 @@
         )
 
 
+class Taker(Protocol):
+    """Who takes requests, as a client's connection needs it."""
+
+    loop: asyncio.AbstractEventLoop
+    clients: Clients
+    memory: Memory
+    backlog: Backlog
+    lag: Lag
+    grammar: Grammar
+    draining: bool
+    taking: bool
+
+    @property
+    def now(self) -> Callable[[], int]:
+        """Nanoseconds on the clock that deadlines are told in."""
+        ...
+
+    def admit(self, front: Front, call: Call) -> tuple[int, bytes, bytes] | None:
+        """Set aside what a request will need; or the code, headers and text with which it is turned away."""
+        ...
+
+    def take(self, front: Front, call: Call) -> None:
+        """Take an admitted request: `Front.answer` is called for it once."""
+        ...
+
+    def disconnected(self, front: Front, call: Call | None) -> None:
+        """The client has gone, with this request open."""
+        ...
+
+    def fault(self, text: str) -> None:
+        """Log the exception that is being handled, now and then."""
+        ...
+
+
 class Front(asyncio.Protocol):
     """A client's connection: one request after another, one answer to each in their order."""
 
-    def __init__(self, engine: Engine, client: Client) -> None:
+    def __init__(self, engine: Taker, client: Client) -> None:
         self.engine = engine
         self.client = client
         self.parser = httptools.HttpRequestParser(self)
--- /dev/null
+++ b/dykefold/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which service a request belongs to."""
