Pools and a node in place of one engine

Need: several services in one process; the engine was module host, request table, timers and process in one.

Change: net/pool.py holds a service's module, servers and requests and knows no client socket; net/engine.py is the node above it: listener, clients, budgets, limits, the end.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -132,7 +132,7 @@
         log.warning("the configuration stays as it was: %s", error)
         return
     engine.limit(config.sockets, config.caps)
-    engine.discovery.turn(config.discovery)
+    engine.pool.discovery.turn(config.discovery)
 
 
 async def run(config: Config, path: str | None, service: str | None) -> None:
@@ -143,7 +143,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload, engine, path, service)
     try:
         if config.peer_listen is not None:
-            peers = Peers(config.settings.index, config.peers, config.peers_all, engine.on_peer)
+            peers = Peers(config.settings.index, config.peers, config.peers_all, engine.pool.on_peer)
             await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
             engine.peers = peers
         listener = engine.listen(socket.create_server(config.listen, backlog=BACKLOG))
--- /dev/null
+++ b/dykefold/net/pool.py
@@ -0,0 +1,422 @@
+"""A pool: one service's servers, its module, and the requests that it holds. Events in, actions out.
+
+It knows no listener and no client's socket: who asks is an `Asker`, what the process shares comes from a
+`Home`. So a pool can be made and driven without a node, and a node can have several.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from time import monotonic
+from typing import Any, Protocol
+
+from .. import interface as api
+from ..admission.budget import Budget
+from ..admission.rules import Client
+from ..interface import Settings, State, Status
+from ..logic import Balancer
+from ..settings import Transport
+from .backlog import Backlog
+from .clock import MS, SECOND, Clock
+from .deadlines import Deadlines, Limited
+from .discovery import Discovery, Listed, Names, News
+from .front import BODY_MOST, Call
+from .lag import Lag
+from .limits import Memory
+from .peers import Address, Peers
+from .reports import Reports
+from .upstream import Answer, Exchange, Upstreams
+
+log = logging.getLogger("dykefold")
+
+ATTEMPT_MARGIN_NS = 15 * MS  # before the client's deadline the last attempt is given up
+GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
+PROBE_TIMEOUT = 0.4  # seconds
+
+
+class Asker(Protocol):
+    """Who asked, as a pool needs it."""
+
+    client: Client
+
+    def answer(self, call: Call, code: int, headers: bytes, body: bytes) -> None:
+        """The one final answer; a later one has no effect."""
+        ...
+
+
+class Home(Protocol):
+    """What a process shares among its pools."""
+
+    loop: asyncio.AbstractEventLoop
+    clock: Clock
+    budget: Budget
+    memory: Memory
+    backlog: Backlog
+    deadlines: Deadlines
+    lag: Lag
+    peers: Peers | None
+
+    def fault(self, text: str) -> None:
+        """Log the exception that is being handled, now and then."""
+        ...
+
+    def settled(self, asker: Asker, call: Call, served: bool) -> None:
+        """A request is owed nothing any more; its answer, if there is one, is given after this."""
+        ...
+
+
+class Attempt(Exchange):
+    """One try of a request at one server."""
+
+    __slots__ = ("held", "number", "sent_ns", "server")
+
+    def __init__(self, held: Held, number: int, server: int, sent_ns: int) -> None:
+        super().__init__(b"", held.ended, BODY_MOST)
+        self.held = held
+        self.number = number
+        self.server = server
+        self.sent_ns = sent_ns
+
+
+class Held(Limited):
+    """A request that this sidecar has taken. Its limit is the last guard on its answer."""
+
+    __slots__ = ("asker", "attempts", "call", "claims", "id", "may_have_run", "out", "owed", "pool")
+
+    def __init__(self, ident: int, call: Call, asker: Asker, pool: Pool) -> None:
+        self.tick = 0
+        self.id = ident
+        self.call = call
+        self.asker = asker
+        self.pool = pool
+        self.attempts = 0
+        self.out = 0  # of these, attempts that have not ended
+        self.claims = 1  # descriptors set aside for it
+        self.may_have_run = False  # some attempt has ended without a proof that it did not
+        self.owed = True  # its final answer
+
+    def expire(self) -> None:
+        self.pool.guard(self)
+
+    def ended(self, attempt: Exchange, status: Status, answer: Answer | None) -> None:
+        self.pool.end_attempt(self, attempt, status, answer)  # type: ignore[arg-type]
+
+
+class Pool:
+    def __init__(
+        self,
+        home: Home,
+        settings: Settings,
+        transport: Transport,
+        seed: int,
+        discovery: Address,
+        names: Names,
+        known: News,
+    ) -> None:
+        self.home = home
+        self.loop = home.loop
+        self.clock = home.clock
+        self.now = home.clock.now
+        self.budget = home.budget
+        self.deadlines = home.deadlines
+        self.settings = settings
+        self.max_open = transport.max_open
+        self.names = names
+        self.balancer = Balancer(settings, seed)
+        self.reports = Reports(settings.report_columns)
+        self.probe_path = b"/-/load" if settings.report_columns else b"/-/healthy"
+        self.upstreams = Upstreams(
+            home.loop,
+            home.budget.upstreams,
+            home.memory,
+            settings.connect_timeout_ns / SECOND or 1.0,
+            transport.conn_idle_ns / SECOND,
+            home.backlog,
+            home.deadlines,
+        )
+        self.discovery = Discovery(
+            home.loop, discovery, names, known.version, self.on_news, pushed=not settings.must_ask
+        )
+        self.held: dict[int, Held] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}  # those out, also of requests that are over
+        self.next_id = 1
+        self.events: deque[api.Event] = deque()
+        self.handling = False
+        self.carry_out = self._actions()
+        self._apply(known, api.ListKind.CACHED)
+        if not settings.must_ask:
+            self.discovery.watch(True)
+
+    # Events to the module, its actions
+
+    def post(self, event: api.Event) -> None:
+        """Hand the module an event after those that came before it; then do what it says."""
+        self.events.append(event)
+        if self.handling:
+            return
+        self.handling = True
+        carry_out = self.carry_out
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    actions = self.balancer.handle(self.now(), event)
+                except Exception:
+                    # Guards all other requests against a fault in one; the last guard answers that one.
+                    self.home.fault("the module failed on an event")
+                    actions = self.balancer.actions
+                for action in actions:
+                    try:
+                        carry_out[type(action)](action)
+                    except Exception:
+                        self.home.fault("an action failed")
+        finally:
+            self.handling = False
+
+    def _actions(self) -> dict[type, Callable[[Any], None]]:
+        """What carries out each kind of action."""
+        return {
+            api.Send: self._send,
+            api.SetTimer: self._set_timer,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Cancel: self._cancel,
+            api.Probe: lambda action: self._probe(action.server),
+            api.CloseIdle: lambda action: self.upstreams.close_idle(action.server),
+            api.Tell: self._tell,
+            api.Watch: lambda action: self.discovery.watch(action.on),
+            api.Fetch: lambda _: self.discovery.fetch(),
+            api.Log: lambda action: log.info(action.text),
+        }
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        # Whole milliseconds, upwards: the loop counts in these, and an early bell rings for nothing.
+        self.loop.call_later(-(-action.after_ns // MS) / 1000, self.post, api.Timer(action.token))
+
+    def _fail(self, action: api.Fail) -> None:
+        held = self.held.get(action.id)
+        if held is not None:
+            self._finish(held, 502, b"", b"failed\n")
+
+    def _tell(self, action: api.Tell) -> None:
+        if self.home.peers is not None:
+            self.home.peers.tell(action.data, action.peer)
+
+    # Requests
+
+    def take(self, asker: Asker, call: Call) -> None:
+        """Take an admitted request: from here on it is owed one final answer."""
+        held = Held(self.next_id, call, asker, self)
+        call.ticket = held.id
+        self.next_id += 1
+        self.held[held.id] = held
+        now_s = monotonic()
+        left = max(call.deadline_ns - GUARD_MARGIN_NS - self.clock.at(now_s), 0)
+        self.deadlines.start(held, left / SECOND, now_s)
+        self.post(
+            api.Request(
+                held.id,
+                call.cls,
+                call.tenant,
+                call.deadline_ns,
+                call.key,
+                call.cost_ns,
+                call.is_retry,
+                call.method == b"POST",
+            )
+        )
+
+    def guard(self, held: Held) -> None:
+        """Time is up: whatever the module still plans, the client gets its answer now."""
+        if not held.owed:
+            return
+        for number in range(held.attempts):
+            attempt = self.attempts.get((held.id, number))
+            if attempt is not None:
+                attempt.give_up(Status.TIMEOUT)
+        if held.owed:
+            if held.may_have_run:
+                self._finish(held, 504, b"", b"failed: out of time\n")
+            else:
+                self._finish(held, 503, b"", b"refused: out of time\n")
+            self.post(api.Dropped(held.id))
+
+    def _finish(self, held: Held, code: int, headers: bytes, body: bytes) -> None:
+        """Give the one final answer."""
+        self._settle(held, served=code == 200)
+        held.asker.answer(held.call, code, headers, body)
+
+    def _settle(self, held: Held, served: bool = False) -> None:
+        held.owed = False
+        self._unclaim(held)
+        self.held.pop(held.id, None)
+        self.deadlines.stop(held)
+        self.home.settled(held.asker, held.call, served)
+
+    def _unclaim(self, held: Held) -> None:
+        """Give back what was set aside for attempts that no longer can be; one that is out keeps its own."""
+        needed = held.out or held.owed
+        while held.claims > needed:
+            held.claims -= 1
+            self.budget.unclaim()
+
+    def drop(self, call: Call) -> bool:
+        """The client has gone: its request is over, what is out for it the module may call off.
+
+        Returns whether the request was open.
+        """
+        held = self.held.get(call.ticket)
+        if held is None:
+            return False
+        self._settle(held)
+        self.post(api.Dropped(held.id))
+        return True
+
+    def answer_all(self) -> None:
+        """Give every request that is held its final answer now."""
+        for held in list(self.held.values()):
+            self.guard(held)
+
+    def _refuse(self, action: api.Refuse) -> None:
+        held = self.held.get(action.id)
+        if held is None:
+            return
+        headers = b""
+        if action.retry_after_ns > 0:
+            headers = retry_after(action.retry_after_ns)
+        self._finish(held, 503, headers, b"refused\n")
+
+    # Attempts
+
+    def _send(self, action: api.Send) -> None:
+        held = self.held.get(action.id)
+        if held is None:
+            return  # over already: the module was told, or will be by an event in the queue
+        now = self.now()
+        attempt = Attempt(held, held.attempts, action.server, now)
+        held.attempts += 1
+        self.attempts[held.id, attempt.number] = attempt
+        held.out += 1
+        last = held.call.deadline_ns - ATTEMPT_MARGIN_NS - now
+        wait = min(action.timeout_ns, last) if action.timeout_ns > 0 else last
+        if held.attempts > self.settings.max_attempts or wait <= 0 or not self._claim_attempt(held):
+            attempt.end(Status.MOOT)
+            return
+        attempt.payload = self._payload(held.call, wait)
+        self.upstreams.start(action.server, attempt, wait / SECOND)
+
+    def _claim_attempt(self, held: Held) -> bool:
+        """Whether a descriptor is set aside for one more attempt: always, unless two may be out at once."""
+        if held.claims < held.out:
+            if not self.budget.claim():
+                return False
+            held.claims += 1
+        return True
+
+    @staticmethod
+    def _payload(call: Call, wait: int) -> bytes:
+        length = b"Content-Length: %d\r\n" % len(call.body) if call.body or call.method == b"POST" else b""
+        return b"%s %s HTTP/1.1\r\n%sX-Deadline: %dm\r\n%s\r\n%s" % (
+            call.method,
+            call.target,
+            b"".join(call.headers),
+            max(wait // MS, 1),
+            length,
+            call.body,
+        )
+
+    def end_attempt(self, held: Held, attempt: Attempt, status: Status, answer: Answer | None) -> None:
+        """An attempt has ended: a whole 200 reaches the client, the module hears of all."""
+        self.attempts.pop((held.id, attempt.number), None)
+        held.out -= 1
+        self._unclaim(held)
+        if status not in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT):
+            held.may_have_run = True
+        report: tuple[float, ...] = ()
+        if answer is not None:
+            if answer.load and self.reports.columns:
+                report = self.reports.read(answer.load)
+            if status is Status.OK and held.owed:
+                lines = b"".join(b"%s: %s\r\n" % header for header in answer.headers)
+                self._finish(held, 200, lines, answer.body)
+        took = self.now() - attempt.sent_ns
+        self.post(api.Outcome(held.id, attempt.number, attempt.server, status, took, not held.owed, report))
+
+    def _cancel(self, action: api.Cancel) -> None:
+        attempt = self.attempts.get((action.id, action.attempt))
+        if attempt is not None:
+            attempt.give_up(Status.CANCELLED)
+
+    def _probe(self, server: int) -> None:
+        started = self.now()
+        if not self.budget.claim():
+            self.loop.call_soon(self.post, api.ProbeResult(server, Status.MOOT, 0, ()))
+            return
+
+        def done(_: Exchange, status: Status, answer: Answer | None) -> None:
+            self.budget.unclaim()
+            report: tuple[float, ...] = ()
+            if answer is not None and self.reports.columns:
+                report = self.reports.read(answer.load or answer.body.strip())
+            self.post(api.ProbeResult(server, status, self.now() - started, report))
+
+        payload = b"GET %s HTTP/1.1\r\nHost: probe\r\n\r\n" % self.probe_path
+        self.upstreams.start(server, Exchange(payload, done, BODY_MOST), PROBE_TIMEOUT)
+
+    # The list of servers
+
+    def on_news(self, news: News | None) -> None:
+        if news is None:
+            self.post(api.Membership(api.ListKind.FAILED, 0, []))
+        else:
+            self._apply(news)
+
+    def _apply(self, news: News, kind: api.ListKind | None = None) -> None:
+        began_s = monotonic()
+        # The module first, so that what the sockets then give up is not sent to the same server again.
+        self.post(news.membership(kind))
+        if news.complete:
+            listed = {entry.endpoint.server for entry in news.entries}
+            for server in [server for server in self.upstreams.targets if server not in listed]:
+                self._drop_server(server)
+        for entry in news.entries:
+            self._apply_entry(entry)
+        # After changes too: on a day of replacements no whole list may ever come.
+        self.names.keep(set(self.balancer.servers) | set(self.upstreams.targets))
+        self.home.lag.took(began_s, f"a list of {len(news.entries)} servers")
+
+    def _apply_entry(self, entry: Listed) -> None:
+        endpoint = entry.endpoint
+        target = self.upstreams.targets.get(endpoint.server)
+        if target is not None and (target.takes_new != (endpoint.state is State.READY)):
+            log.info("%s (%d) is %s", entry.name, endpoint.server, endpoint.state.name.lower())
+        if target is None:
+            if endpoint.state is State.GONE:
+                return
+            log.info("%s is server %d at %s:%d", entry.name, endpoint.server, *entry.address)
+        elif target.since_ms != entry.since_ms:
+            log.info("%s (%d) has restarted", entry.name, endpoint.server)
+        self.upstreams.update(endpoint.server, entry.address, entry.since_ms, endpoint.state, endpoint.kind)
+        if endpoint.state is State.GONE:
+            self.upstreams.forget(endpoint.server)
+
+    def _drop_server(self, server: int) -> None:
+        target = self.upstreams.targets[server]
+        log.info("server %d has left the list", server)
+        self.upstreams.update(server, target.address, target.since_ms, State.GONE)
+        self.upstreams.forget(server)
+
+    def on_peer(self, sender: int, data: bytes) -> None:
+        self.post(api.PeerMessage(sender, data))
+
+    def close(self) -> None:
+        """Let go of all sockets."""
+        self.discovery.close()
+        self.upstreams.close()
+
+
+def retry_after(after_ns: int) -> bytes:
+    return b"Retry-After: %.3f\r\n" % (after_ns / SECOND)
--- a/tests/admission/test_listener.py
+++ b/tests/admission/test_listener.py
@@ -276,14 +276,14 @@
     async def play():
         fake = await Fake(answer_ok).start()
         async with start(tmp_path, fake) as sidecar:
-            before = sidecar.engine.discovery.address
+            before = sidecar.engine.pool.discovery.address
 
             def scarce(*_, **__):
                 raise OSError(errno.EMFILE, "Too many open files")
 
             monkeypatch.setattr(program, "open", scarce, raising=False)
             program.reload(sidecar.engine, str(tmp_path / "c"))
-            assert sidecar.engine.discovery.address == before
+            assert sidecar.engine.pool.discovery.address == before
             assert (await ask(sidecar.port, message("order", "a"))).code == 200
 
     run(play())
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -165,7 +165,7 @@
         data = config(news(1), fake.address)
         data["settings"]["discovery"] = "push"
         async with Sidecar(tmp_path / "c", data) as sidecar:
-            await until(lambda: sidecar.engine.discovery.version == 41)
+            await until(lambda: sidecar.engine.pool.discovery.version == 41)
         assert len(fake.got) >= 2
 
     run(play())
@@ -195,7 +195,7 @@
             await until(lambda: old.got)
             go.set()
             engine = sidecar.engine
-            await until(lambda: engine.discovery.version == 2)
+            await until(lambda: engine.pool.discovery.version == 2)
             for number in range(5):
                 assert (await ask(sidecar.port, message("order", f"id{number}"))).body == b"served "
             finish.set()
@@ -212,8 +212,10 @@
             engine = sidecar.engine
             assert (await ask(sidecar.port, message("lookup", "ab"))).code == 200
             for index in range(2, 50):
-                engine.on_news(read_news(news(index, entry(f"s{index}", fake.address)), engine.names))
-            assert len(engine.upstreams.targets) == 1 and len(engine.names.servers) <= 2
+                engine.pool.on_news(
+                    read_news(news(index, entry(f"s{index}", fake.address)), engine.pool.names)
+                )
+            assert len(engine.pool.upstreams.targets) == 1 and len(engine.pool.names.servers) <= 2
             assert (await ask(sidecar.port, message("lookup", "cd"))).code == 200
 
     run(play())
--- a/tests/test_net_front.py
+++ b/tests/test_net_front.py
@@ -417,6 +417,6 @@
                 await read_message(reader)
             writer.close()
             assert len(sidecar.engine.ids) <= 102 and len(sidecar.engine.old_ids) <= 102
-            assert not sidecar.engine.held and not sidecar.engine.attempts
+            assert not sidecar.engine.pool.held and not sidecar.engine.pool.attempts
 
     run(play())
--- a/tests/test_net_long_day.py
+++ b/tests/test_net_long_day.py
@@ -11,7 +11,7 @@
     async def play():
         fake = await Fake(answer_ok).start()
         async with Sidecar(tmp_path / "c", config(news(1, entry("s0", fake.address)))) as sidecar:
-            engine, module = sidecar.engine, sidecar.engine.balancer
+            engine, module = sidecar.engine, sidecar.engine.pool.balancer
             for number in range(1, DAYS_WORTH):
                 change = news(
                     number + 1,
@@ -19,16 +19,16 @@
                     entry(f"s{number - 1}", fake.address, "DELETED"),
                     snapshot=False,
                 )
-                engine.on_news(read_news(change, engine.names))
+                engine.pool.on_news(read_news(change, engine.pool.names))
                 if number % 20 == 0:
                     data = message("lookup", f"id{number}", "900m", b"", f"X-Key: key{number}")
                     assert (await ask(sidecar.port, data)).code == 200
-                assert len(engine.names.servers) <= 2
+                assert len(engine.pool.names.servers) <= 2
             await until(lambda: not engine.clients.all)
-            assert len(module.servers) <= 2 and len(engine.upstreams.targets) == 1
-            assert len(engine.upstreams.connections) <= 2
-            assert len(module.groups) <= 4 and len(engine.names.zones) <= 256
-            assert not (module.open or module.asking or engine.held or engine.attempts)
+            assert len(module.servers) <= 2 and len(engine.pool.upstreams.targets) == 1
+            assert len(engine.pool.upstreams.connections) <= 2
+            assert len(module.groups) <= 4 and len(engine.pool.names.zones) <= 256
+            assert not (module.open or module.asking or engine.pool.held or engine.pool.attempts)
             assert len(module.timers) <= DAYS_WORTH / 20  # each goes with its deadline, whatever came of it
             assert module.inflight == 0 and engine.memory.held == 0
 
@@ -39,7 +39,7 @@
     async def play():
         fake = await Fake(answer_ok).start()
         async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            engine, module = sidecar.engine, sidecar.engine.balancer
+            engine, module = sidecar.engine, sidecar.engine.pool.balancer
             for number in range(3):
                 assert (await ask(sidecar.port, message("lookup", f"a{number}"))).code == 200
             (old,) = module.servers.values()
@@ -47,7 +47,7 @@
             old.strikes = 5.0
             module._eject(old)
             change = news(2, entry("s1", fake.address, "DELETED"), entry("s2", fake.address), snapshot=False)
-            engine.on_news(read_news(change, engine.names))
+            engine.pool.on_news(read_news(change, engine.pool.names))
             (new,) = [server for server in module.servers.values() if server.listed]
             assert new is not old and not new.ejected and not new.samples and not module.ejected
             assert (await ask(sidecar.port, message("lookup", "b"))).code == 200
@@ -63,8 +63,8 @@
             engine = sidecar.engine
             for index, status in ((2, "DELETED"), (3, "SERVING")):
                 change = news(index, entry("s1", fake.address, status), snapshot=False)
-                engine.on_news(read_news(change, engine.names))
+                engine.pool.on_news(read_news(change, engine.pool.names))
             assert (await ask(sidecar.port, message("order", "a"))).code == 200
-            assert list(engine.upstreams.targets) == list(engine.balancer.servers)
+            assert list(engine.pool.upstreams.targets) == list(engine.pool.balancer.servers)
 
     run(play())
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -71,8 +71,8 @@
         fake = await Fake(say(reply(200, b"held", "X-Load: rps=7,cpu=0.5", "Content-Type: text/x"))).start()
         async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
             heard = []
-            handle = sidecar.engine.balancer.handle
-            sidecar.engine.balancer.handle = lambda now, event: heard.append(event) or handle(now, event)
+            handle = sidecar.engine.pool.balancer.handle
+            sidecar.engine.pool.balancer.handle = lambda now, event: heard.append(event) or handle(now, event)
             got = await ask(sidecar.port, message("hold", "ab12", "900m", b"\x00body"))
         assert (got.code, got.body) == (200, b"held")
         assert got.headers["content-type"] == "text/x" and "x-load" not in got.headers
@@ -205,20 +205,20 @@
     async def play():
         fake = await Fake(answer_ok).start()
         async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
-            handle = sidecar.engine.balancer.handle
+            handle = sidecar.engine.pool.balancer.handle
 
             def failing(now, event):
                 if isinstance(event, api.Request) and event.cls == 2:
-                    sidecar.engine.balancer.actions = []
+                    sidecar.engine.pool.balancer.actions = []
                     raise ZeroDivisionError("of the module")
                 return handle(now, event)
 
-            sidecar.engine.balancer.handle = failing
+            sidecar.engine.pool.balancer.handle = failing
             lost = asyncio.create_task(ask(sidecar.port, message("order", "ab", "500m")))
             for number in range(3):
                 assert (await ask(sidecar.port, message("lookup", f"id{number}"))).code == 200
             assert (await lost).code == 503
-            assert not sidecar.engine.held
+            assert not sidecar.engine.pool.held
 
     run(play())
 
@@ -227,15 +227,15 @@
     async def play():
         fake = await Fake(silent).start()
         async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
-            handle = sidecar.engine.balancer.handle
+            handle = sidecar.engine.pool.balancer.handle
 
             def deaf(now, event):
                 if isinstance(event, api.Outcome | api.Timer):
-                    sidecar.engine.balancer.actions = []
+                    sidecar.engine.pool.balancer.actions = []
                     raise ZeroDivisionError("of the module")
                 return handle(now, event)
 
-            sidecar.engine.balancer.handle = deaf
+            sidecar.engine.pool.balancer.handle = deaf
             assert (await ask(sidecar.port, message("order", "ab", "500m"))).code == 504
 
     run(play())
@@ -250,10 +250,10 @@
                 raise ZeroDivisionError("of the program")
 
             engine = sidecar.engine
-            engine._payload = broken
+            engine.pool._payload = broken
             assert (await ask(sidecar.port, message("order", "ab", "300m"))).code == 503
-            assert not engine.held and not engine.attempts
-            del engine._payload
+            assert not engine.pool.held and not engine.pool.attempts
+            del engine.pool._payload
             assert (await ask(sidecar.port, message("order", "cd"))).code == 200
 
     run(play())
@@ -269,9 +269,11 @@
             writer.close()
             await until(lambda: fake.ended == 1, "its attempt is called off")
             engine = sidecar.engine
-            await until(lambda: not engine.held and not engine.attempts and not engine.balancer.open)
+            await until(
+                lambda: not engine.pool.held and not engine.pool.attempts and not engine.pool.balancer.open
+            )
             assert not engine.clients.all
-            (server,) = engine.balancer.servers.values()
+            (server,) = engine.pool.balancer.servers.values()
             assert not server.out  # the attempt's end was told as well
 
     run(play())
@@ -290,7 +292,7 @@
 def test_a_report_is_read_by_names_and_only_whole(tmp_path):
     async def play():
         async with Sidecar(tmp_path / "c", config(news(1))) as sidecar:
-            read = sidecar.engine.reports.read
+            read = sidecar.engine.pool.reports.read
             assert read(b"cpu=0.25, rps=3") == (3.0, 0.25)
             assert read(b"qps=3,util=0.25,more=1") == (3.0, 0.25)
             for figure in (
@@ -325,15 +327,15 @@
         async with Sidecar(tmp_path / "c", config(two_servers(fake))) as sidecar:
             heard = []
             engine = sidecar.engine
-            (server,) = engine.upstreams.targets
-            engine.balancer.handle = lambda now, event: heard.append(event) or []
-            engine.carry_out[api.Probe](api.Probe(server))
+            (server,) = engine.pool.upstreams.targets
+            engine.pool.balancer.handle = lambda now, event: heard.append(event) or []
+            engine.pool.carry_out[api.Probe](api.Probe(server))
             await until(lambda: heard)
             assert heard[0].status is api.Status.OK and heard[0].report == (7.0, 0.5)
-            engine.carry_out[api.CloseIdle](api.CloseIdle(server))
-            assert not engine.upstreams.connections
+            engine.pool.carry_out[api.CloseIdle](api.CloseIdle(server))
+            assert not engine.pool.upstreams.connections
             fake.server.close()
-            engine.carry_out[api.Probe](api.Probe(server))
+            engine.pool.carry_out[api.Probe](api.Probe(server))
             await until(lambda: len(heard) > 1)
             assert heard[1].status is api.Status.CONNECT_FAILED and heard[1].report == ()
 
@@ -345,7 +347,7 @@
         since = int(time.time() * 1000) - 2000
         known = news(1, entry("s1", f"{HOST}:9"), entry("s2", f"{HOST}:10", since_ms=since))
         async with Sidecar(tmp_path / "c", config(known)) as sidecar:
-            started = sorted(server.started for server in sidecar.engine.balancer.servers.values())
+            started = sorted(server.started for server in sidecar.engine.pool.balancer.servers.values())
             assert started[0] == 0
             assert 1000 * MS < sidecar.engine.now() - started[1] < 60_000 * MS
 
