Never write what is over: the cause of the second copy

Cause: an exchange whose connect had completed but whose connection the loop was still taking over stayed among those that wait when it was given up. It was reported as never run; keep() then wrote it on the next connection that came free, beside its repeat. Found by nodes that look whether an earlier attempt still stands, in a process stopped again and again on two crowded cores, and a trace of each write and end.

Change: keep() drops what has ended, send() asserts it; a test at that place, red before.

--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -285,6 +285,7 @@
 
     def send(self, exchange: Exchange, now: float) -> bool:
         """Write an exchange; False if the connection was found dead with nothing of it sent."""
+        assert not exchange.ended, "what is over is never written"
         # Guards against the race with a server that closes an idle connection: its end may have come
         # while the loop was busy, and a request written after it would count as one that may have run.
         if self.came.poll(0):
@@ -504,6 +505,10 @@
             connection.close()
             return
         # One that waits for a connection of its own need not: the one that is being made is kept instead.
+        # Guards against one that was given up while the loop took its connection over: it is in `opening`
+        # until that is done, has been reported as never run, and may be out again elsewhere.
+        while target.opening and (exchange := next(iter(target.opening))).ended:
+            del target.opening[exchange]
         if target.opening:
             exchange = next(iter(target.opening))
             if connection.send(exchange, now):
--- a/standins/truth.py
+++ b/standins/truth.py
@@ -26,6 +26,7 @@
 NEVER = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 CLOSE = b""
 SILENCE = None
+STORIES_MOST = 10
 TROUBLES: tuple[bytes | None, ...] = (SILENCE, SPOILT, CLOSE, NEVER)
 
 
@@ -39,6 +40,8 @@
     sock: socket.socket
     overlaps: bool
     keyed: bool
+    at_s: float
+    answer: bytes | None = SILENCE
 
 
 @dataclass(slots=True)
@@ -47,6 +50,7 @@
     repeats: int = 0
     overlaps: int = 0
     orders_twice: int = 0
+    stories: list[str] = field(default_factory=list)  # of the first overlaps
 
 
 Act = Callable[[Arrival, int], bytes | None]  # with the number of earlier arrivals of this id
@@ -121,11 +125,24 @@
         lines = dict(line.lower().split(": ", 1) for line in head[1:])
         ident = lines.get("x-request-id", "")
         earlier = self.arrivals.setdefault(ident, [])
-        overlaps = any(_stands(other.sock) for other in earlier)
+        standing = [other for other in earlier if _stands(other.sock)]
+        overlaps = bool(standing)
         arrival = Arrival(
-            ident, head[0].split()[0], sock.getsockname()[1], sock, overlaps, "idempotency-key" in lines
+            ident,
+            head[0].split()[0],
+            sock.getsockname()[1],
+            sock,
+            overlaps,
+            "idempotency-key" in lines,
+            time.monotonic(),
         )
-        answer = self.act(arrival, len(earlier))
+        if standing and len(self.tally.stories) < STORIES_MOST:
+            other = standing[0]
+            self.tally.stories.append(
+                f"{ident}: {(arrival.at_s - other.at_s) * 1000:.1f} ms after one that was answered"
+                f" with {other.answer!r}, state {_tcp_state(other.sock)}"
+            )
+        answer = arrival.answer = self.act(arrival, len(earlier))
         self.tally.requests += 1
         self.tally.repeats += bool(earlier)
         self.tally.overlaps += overlaps
@@ -157,6 +174,11 @@
     return end if len(data) >= end else 0
 
 
+def _tcp_state(sock: socket.socket) -> int:
+    """The kernel's own word, as in tcp_states.h: 1 is established, 8 has had the other side's end."""
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+
+
 def _stands(sock: socket.socket) -> bool:
     """Whether a connection has not ended, as far as the kernel of its server knows."""
     try:
--- a/tests/test_net_ends.py
+++ b/tests/test_net_ends.py
@@ -173,6 +173,33 @@
     run(play())
 
 
+def test_what_was_given_up_while_its_connect_completed_is_not_written_on_a_freed_connection():
+    """The cause of a second copy on the bench: reported as never run, then written, then repeated."""
+    with truth(1, lambda arrival, earlier: GOOD) as server:
+
+        async def play():
+            pool = make(("127.0.0.1", server.numbers[0]))
+            target = pool.targets[1]
+            warm = asyncio.get_running_loop().create_future()
+            pool.start(1, Exchange(PAYLOAD, lambda _, s, a: warm.set_result(s), 99), WAIT)
+            assert await warm is Status.OK
+            free = pool._take_idle(target)
+            ends = []
+            exchange = Exchange(PAYLOAD.replace(b"ab", b"late"), lambda _, s, a: ends.append(s), 99)
+            pool.start(1, exchange, WAIT)
+            while exchange.opening is not None:
+                await asyncio.sleep(0)
+            assert exchange in target.opening and exchange.connection is None
+            exchange.give_up(Status.CANCELLED)
+            pool.keep(free, time.monotonic())
+            assert ends == [Status.CONNECT_FAILED] and free.exchange is None
+            await asyncio.sleep(HELD)
+            pool.close()
+
+        run(play())
+        assert "late" not in server.arrivals
+
+
 def test_a_descriptor_number_that_is_used_again_at_once_is_a_connection_of_its_own():
     """Guards the next connection under the same number from the end of the one before it."""
     with truth(1, lambda arrival, earlier: GOOD if arrival.ident == "b" else SILENCE) as server:
