A pool driven by itself in a test

Need: that a pool can be made without a node is a claim of the design. Result: two pools of one home serve and guard their requests, and the descriptors set aside are given back.

--- /dev/null
+++ b/tests/test_net_pool.py
@@ -0,0 +1,88 @@
+"""A pool by itself: no listener, no client's socket, no node."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from net_helpers import MS, Fake, answer_ok, config, entry, news, run, silent
+
+from dykefold.admission.addresses import Caps
+from dykefold.admission.budget import Budget
+from dykefold.admission.rules import Admission, Share
+from dykefold.net.backlog import Backlog
+from dykefold.net.clock import Clock
+from dykefold.net.deadlines import Deadlines
+from dykefold.net.discovery import Names, read_news
+from dykefold.net.front import Call
+from dykefold.net.lag import Lag
+from dykefold.net.limits import MB, Memory
+from dykefold.net.pool import Pool
+from dykefold.settings import nested_settings, nested_transport
+
+
+class Home:
+    """What a process shares, with a count of what is over."""
+
+    def __init__(self):
+        self.loop = asyncio.get_running_loop()
+        self.clock = Clock()
+        self.budget = Budget(256)
+        self.memory = Memory(64 * MB)
+        self.lag = Lag(self.loop)
+        self.backlog = Backlog(self.loop, self.lag)
+        self.deadlines = Deadlines(self.loop)
+        self.peers = None
+        self.over = []
+
+    def fault(self, text):
+        raise AssertionError(text)
+
+    def settled(self, asker, call, served):
+        self.over.append((call.ident, served))
+
+
+@dataclass
+class Asker:
+    client: object = field(
+        default_factory=lambda: Admission(Share(8, 8), Caps()).connect("127.0.0.1", 0.0)[0]
+    )
+    answers: list = field(default_factory=list)
+
+    def answer(self, call, code, headers, body):
+        self.answers.append((call.ident, code, body))
+
+
+def make(home, *entries):
+    data = config(news(1, *entries))
+    settings, transport = nested_settings(data["settings"]), nested_transport(data["settings"])
+    names = Names(settings.zones, transport.kinds)
+    return Pool(home, settings, transport, 1, ("127.0.0.1", 9), names, read_news(data["known"], names))
+
+
+def call(home, ident, within_ms, method=b"GET"):
+    line = b"X-Request-Id: %s\r\n" % ident
+    due = home.clock.now() + within_ms * MS
+    return Call(ident, method, b"/lookup/part", [line], b"", 0, 0, 0, due, 0, False, True)
+
+
+def test_a_pool_serves_and_guards_its_requests_without_a_node():
+    async def play():
+        home, asker = Home(), Asker()
+        fake, mute = await Fake(answer_ok).start(), await Fake(silent).start()
+        pools = [make(home, entry("s1", fake.address)), make(home, entry("s1", mute.address))]
+        before = home.budget.claims
+        for pool, ident, within in ((pools[0], b"aa", 3000), (pools[1], b"bb", 200)):
+            assert home.budget.claim()
+            pool.take(asker, call(home, ident, within))
+        async with asyncio.timeout(10):
+            while len(asker.answers) < 2:
+                await asyncio.sleep(0.005)
+        assert sorted(asker.answers)[0] == (b"aa", 200, b"served ")
+        assert [(ident, code) for ident, code, _ in sorted(asker.answers)][1] == (b"bb", 503)
+        assert sorted(home.over) == [(b"aa", True), (b"bb", False)]
+        assert len(fake.got) == len(mute.got) == 1 and home.budget.claims == before
+        for pool in pools:
+            assert not pool.held and not pool.attempts
+            pool.close()
+        home.lag.close()
+
+    run(play())
