--- a/tests/test_net_hostile.py
+++ b/tests/test_net_hostile.py
@@ -136,7 +136,7 @@
         began = time.monotonic()
         for number in range(3):
             await feed(sidecar, [chunked(BODY_MOST - number)])
-        assert time.monotonic() - began < 10.0  # half a second here; thirty before
+        assert time.monotonic() - began < 10.0  # one to two seconds here; over twenty before
 
     many(tmp_path, play)
 
