Bound the heap of ticks; take nothing more from a client that is being closed

Cause, found by reading the whole change: each request emptied and made anew the bucket of its tick and left an entry in the heap, up to twice the requests of a deadline; and input that waited for its turn was parsed on after its connection was being closed, so that a request of somebody who has gone could be taken.

Change: a tick stands in the heap once until its time has come; what waits is dropped when its connection is closed.

--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -865,9 +865,8 @@
                 self._write_off(server, key)
         elif not silent:
             if key not in server.lost:
-                self._press(
-                    server, req.cls, sent, self.now - sent
-                )  # late news is no use: count it while it waits
+                # Late news is no use: count it while it waits.
+                self._press(server, req.cls, sent, self.now - sent)
                 server.pressed.add(key)
         else:  # one long piece of work must not condemn a server by itself
             self._strike(server, HINT_STRIKE, EJECT_SHARE_ON_SILENCE)
--- a/dykefold/net/deadlines.py
+++ b/dykefold/net/deadlines.py
@@ -27,12 +27,16 @@
 
 
 class Deadlines:
-    """The limits that are running. Their number is that of open requests and attempts, twice at most."""
+    """The limits that are running: one for each open request and each attempt that is out.
+
+    A tick stands in the heap once, also when all its limits are over, until its time has come: as many
+    entries as there are ticks in the longest limit, 2,000 for 4 s.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
-        self.buckets: dict[int, dict[Limited, None]] = {}
-        self.ticks: list[int] = []  # a heap of the buckets' ticks, also of those that are empty and gone
+        self.buckets: dict[int, dict[Limited, None] | None] = {}  # None: all its limits are over
+        self.ticks: list[int] = []  # a heap of the buckets' ticks
         self.timer: asyncio.TimerHandle | None = None
         self.rings_at = 0
 
@@ -43,8 +47,9 @@
         if bucket is not None:
             bucket[item] = None
             return
+        if tick not in self.buckets:
+            heapq.heappush(self.ticks, tick)
         self.buckets[tick] = {item: None}
-        heapq.heappush(self.ticks, tick)
         if self.timer is None or tick < self.rings_at:
             self._arm(now_s)
 
@@ -54,15 +59,15 @@
         if bucket is not None:
             bucket.pop(item, None)
             if not bucket:
-                del self.buckets[item.tick]
+                self.buckets[item.tick] = None
         item.tick = 0
 
     def _arm(self, now_s: float) -> None:
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        while self.ticks and self.ticks[0] not in self.buckets:
-            heapq.heappop(self.ticks)
+        while self.ticks and self.buckets[self.ticks[0]] is None:
+            del self.buckets[heapq.heappop(self.ticks)]
         if self.ticks:
             self.rings_at = self.ticks[0]
             self.timer = self.loop.call_later(max(self.rings_at * TICK_S - now_s, 0.0), self._ring)
@@ -72,9 +77,10 @@
         now_s = monotonic()
         due = int(now_s / TICK_S + 0.5)  # the loop's own clock may be a part of a millisecond behind
         while self.ticks and self.ticks[0] <= due:
-            bucket = self.buckets.get(heapq.heappop(self.ticks))
-            while bucket:  # one that expires may stop others
+            tick = heapq.heappop(self.ticks)  # first: one that expires may start or stop others
+            while bucket := self.buckets.get(tick):
                 item = next(iter(bucket))
                 self.stop(item)
                 item.expire()
+            self.buckets.pop(tick, None)
         self._arm(now_s)
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -286,6 +286,8 @@
         self._resume()
 
     def feed_slice(self) -> bool:
+        if self.leaving:  # nobody is left to answer: nothing more may be taken
+            self._drop_unfed()
         if self.unfed is not None:
             data, self.unfed = cut(self.unfed)
             self.engine.memory.release(len(data))
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -5,6 +5,7 @@
 import errno
 import gc
 import socket
+import time
 import weakref
 
 import pytest
@@ -13,6 +14,7 @@
 from dykefold.admission.budget import Allowance
 from dykefold.interface import State, Status
 from dykefold.net import upstream
+from dykefold.net.deadlines import Deadlines
 from dykefold.net.limits import MB, Memory
 from dykefold.net.upstream import Exchange, Upstreams
 
@@ -474,6 +476,31 @@
     run(play())
 
 
+def test_a_tick_whose_limits_are_over_is_kept_once():
+    """Guards the memory: each request makes and empties the bucket of its tick."""
+
+    async def play():
+        deadlines = Deadlines(asyncio.get_running_loop())
+        rung = []
+        items = [Exchange(b"", lambda _, status, answer: rung.append(status), 1) for _ in range(1000)]
+        for item in items:
+            deadlines.start(item, 0.05, 100.0)
+            deadlines.stop(item)
+        assert len(deadlines.ticks) == len(deadlines.buckets) == 1
+        now = time.monotonic()
+        deadlines.start(items[0], 0.02, now)
+        deadlines.start(items[1], 0.01, now)
+        deadlines.start(items[2], 30.0, now)
+        await until(lambda: len(rung) == 2)
+        assert not items[0].tick and items[2].tick and len(deadlines.buckets) <= 2
+        # The last of its tick starts the next one, as an attempt that is late leads to another.
+        last = Exchange(b"", lambda *_: deadlines.start(items[3], 0.01, time.monotonic()), 1)
+        deadlines.start(last, 0.01, time.monotonic())
+        await until(lambda: len(rung) == 3)
+
+    run(play())
+
+
 def test_a_close_of_an_idle_connection_is_learned_as_it_comes():
     """Guards requests against servers that close idle connections far sooner than the settings say."""
 
