Judge answers at 0.35 of the aim, so that crowds don't wear servers

Need: the second deployment, whose servers turn two to three times slower when more than some requests for each core wait, and stay so for half a minute. Ruled out by a trace of the limit: it was cut in time and far (160 to 10), strikes and ejections were few, pressure stood under 1 all the while. The limit kept what it was told to keep: 0.45 of the aim (PRESSURE_AIM, _unit), a crowd of three and more a core.

Change: answers count as pressure at 0.35 of the aim or twice the usual latency (0.45 and 1.4 before); attempts without an answer at 0.45 as before, for they tell of loss as much as of waiting.

--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -115,8 +115,9 @@
 PACE_BURST = 0.25  # seconds of that pace may come at once
 
 # Admission: an adaptive concurrency limit (Little's law) on the own requests in flight.
-PRESSURE_AIM = 0.45  # of the aim: with a mean of half the aim about one answer in eight is late
-PRESSURE_USUAL = 1.4  # times the usual latency, where the aim is hardly more than that
+PRESSURE_AIM = 0.35  # of the aim, for answers: at half of it crowds stay long enough to wear servers
+PRESSURE_DOUBT = 0.45  # ... for attempts with no answer yet: that tells of loss as much as of waiting
+PRESSURE_USUAL = 2.0  # times the usual latency, where the aim is hardly more than that
 PRESSURE_FULL = 2.0  # what a rejection counts: short queues are full before latency shows it
 PRESSURE_MOST = 4.0  # what one attempt counts at most
 PRESSURE_SPAN = 0.12  # shortest deadlines in which what was seen fades to half
@@ -803,7 +804,7 @@
             self.done_units += self._unit(cls)
             if self.now - self.born < self.shortest and self.pressure <= 1.0:
                 self.limit += 1.0  # slow start (RFC 5681, 3.1): twice as much with each turn of the flight
-            self._press(server, cls, sent, took)
+            self._press(server, cls, sent, took, PRESSURE_AIM)
             weight = max(CLASS_SMOOTHING, 1.0 / (self.seen[cls] + 1))
             self.seen[cls] += 1
             self.deviation[cls] += weight * (abs(took - base) - self.deviation[cls])
@@ -828,7 +829,7 @@
         else:
             self._sample(server, max(took / base, FAILURE_SAMPLE, server.rel))
             if status is Status.TIMEOUT and server.last_ok > sent and not (lost or pressed):
-                self._press(server, cls, sent, took)
+                self._press(server, cls, sent, took, PRESSURE_DOUBT)
             if status is not Status.TIMEOUT:
                 self._strike(server, 1.0, EJECT_SHARE)
             elif server.last_ok <= sent:
@@ -866,7 +867,7 @@
         elif not silent:
             if key not in server.lost:
                 # Late news is no use: count it while it waits.
-                self._press(server, req.cls, sent, self.now - sent)
+                self._press(server, req.cls, sent, self.now - sent, PRESSURE_DOUBT)
                 server.pressed.add(key)
         else:  # one long piece of work must not condemn a server by itself
             self._strike(server, HINT_STRIKE, EJECT_SHARE_ON_SILENCE)
@@ -1185,12 +1186,12 @@
         worth = self.settings.classes[cls].worth
         return worth if self.settings.worth_by_work else worth / self.usual[cls]
 
-    def _unit(self, cls: int) -> float:
+    def _unit(self, cls: int, part: float = PRESSURE_AIM) -> float:
         """The latency of a class at which pressure is 1."""
         aim = self.settings.classes[cls].objective_ns
         usual = PRESSURE_USUAL * self.usual[cls]
-        if usual <= PRESSURE_AIM * aim:
-            return PRESSURE_AIM * aim
+        if usual <= part * aim:
+            return part * aim
         return min(usual, PRESSURE_AIM_MOST * aim)
 
     def _learn_usual(self, cls: int, took: int) -> None:
@@ -1204,10 +1205,10 @@
         self.usual_at[cls] = self.now
         self.usual[cls] += step * (took - self.usual[cls])
 
-    def _press(self, server: Server, cls: int, sent: int, latency: float) -> None:
+    def _press(self, server: Server, cls: int, sent: int, latency: float, part: float) -> None:
         """Take one attempt's latency into the pressure, a mean that fades with time to its prior."""
         if not server.ejected:
-            self._add_pressure(latency / self._unit(cls), sent)
+            self._add_pressure(latency / self._unit(cls, part), sent)
 
     def _add_pressure(self, value: float, sent: int) -> None:
         """Guards the limit against being cut again for a flight that it has been cut for already."""
