A planned end serves the connections that clients have until a second before its last

Checked by a trace of a sidecar that was told to end: it stopped at 0.5 s, was gone at 0.8 and 1.3 s (one long lookup), and the next process came at 4 s, by the platform's plan; so the end of the process does not bring the next one, and long requests are not the cause. Lines at fault: Engine._stop_taking half a second after SIGTERM, and Front._respond, which closed each connection with its next answer from SIGTERM on, when new ones come for 0.2 to 0.4 s only.

Change: the listener closes after 0.5 s as before; open connections are kept and served until 2.3 s, or until no request came for 0.3 s. All answers are given by 3.3 s as before.

--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -31,7 +31,9 @@
 SWEEP_EVERY = 0.25
 IDS_KEPT = 4.0  # seconds, and ...
 IDS_MOST = 8192  # ... so many ids of requests that are over can't be used again
-ACCEPT_AFTER_TERM = 0.5  # seconds for which new connections and requests still come
+ACCEPT_AFTER_TERM = 0.5  # seconds for which new connections still come
+TAKE_AFTER_TERM = 2.3  # seconds for which open ones may be used: a second is left for the last answers
+QUIET_AFTER_TERM = 0.3  # ... unless none came for so many
 ANSWER_AFTER_TERM = 3.3  # seconds after which nothing held goes unanswered: the platform kills soon after
 RETRY_AFTER_NS = 500 * MS  # as advice with a refusal for want of room here
 FLUSH_AFTER_TERM = 0.3  # seconds beyond that for clients to read their answers
@@ -158,15 +160,39 @@
             return
         self.draining = True
         log.info("draining: %d requests held", len(self.pool.held))
-        self.loop.call_later(ACCEPT_AFTER_TERM, self._stop_taking)
+        self.loop.call_later(ACCEPT_AFTER_TERM, self._stop_accepting)
+        self.loop.call_later(TAKE_AFTER_TERM, self._stop_taking)
         self.loop.call_later(ANSWER_AFTER_TERM, self.pool.answer_all)
         self.loop.call_later(ANSWER_AFTER_TERM + FLUSH_AFTER_TERM, self._stop)
 
-    def _stop_taking(self) -> None:
-        self.taking = False
+    def _stop_accepting(self) -> None:
+        """Take no more connections, but still requests on those that clients have.
+
+        Guards the application against having nobody to ask while the platform lets this process live:
+        it has no other sidecar, and the next one comes at the platform's time, not when this one ends.
+        """
+        self._close_listener()
+        self._end_if_done()
+        self.loop.call_later(QUIET_AFTER_TERM, self._await_quiet, self.pool.next_id)
+
+    def _await_quiet(self, next_id: int) -> None:
+        if not self.taking:
+            return
+        if self.pool.next_id == next_id:
+            self._stop_taking()
+        else:
+            self.loop.call_later(QUIET_AFTER_TERM, self._await_quiet, self.pool.next_id)
+
+    def _close_listener(self) -> None:
         if self.listener is not None:
             self.listener.close()
         self.listener = None
+
+    def _stop_taking(self) -> None:
+        if not self.taking:
+            return
+        self.taking = False
+        self._close_listener()
         for front in list(self.clients.all.values()):
             if front.idle:
                 front.close()
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -531,7 +531,7 @@
         self.engine.clients.place(self)
 
     def _respond(self, code: int, headers: bytes, body: bytes, keep_alive: bool) -> None:
-        if self.engine.draining and not self.waiting:
+        if not self.engine.taking and not self.waiting:
             keep_alive = False
         self._write(
             b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n%s"
