Learn the wait of first tries as that of a majority; late work only where there is room

Checked by a trace of each refusal: the limit was at 70 with 10 in flight, pressure 0.4; the refused ones had a value of 0. First lookups stated a wait of 1.69 s, their later tries 1.96 s, and nobody marks later tries there. Lines at fault: Balancer._value took the longest wait for the one of first tries, so each of them looked 0.5 s old, past its aim of 0.44 s, was refused, and came again with that longest wait. On the first deployment tries are marked, so it held by luck; nothing hangs on the site.

Change: the wait of first tries is the one that a majority of the tries states (Boyer and Moore's vote); without a majority no age is judged. Work that comes too late may still fill a fifth of the limit: refusing it gains nothing while there is room, and where late answers count for nothing it was refused whenever one other request was out.

--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -146,9 +146,13 @@
 LIMIT_CHEAP = 0.5  # of the limit is open to the work of least worth for its cost, all of it to the dearest
 
 # What a client's later try is still worth.
-TRY_FADE = 0.01  # of the difference, for each shorter first try: how long clients wait for one try
+TRY_SURE = 5  # tries more that state the wait of a first try than other waits, to tell its age by it
+TRY_MOST = 20  # ... that are remembered, so that another wait is learned within as many
 AGE_SURE = 1.5  # usual latencies before the aim: the answer comes in time
 AGE_LOST = 0.5  # ... and it hardly ever does
+VALUE_LEAST = (
+    0.2  # part of the limit that is open to work that comes too late: where there is room it is done
+)
 
 # Fairness.
 SHARES_EVERY = 0.5  # shortest deadlines between judgements: bursts rise within seconds
@@ -294,7 +298,8 @@
         self.shortest = min(spec.deadline_ns for spec in settings.classes)
         self.usual = list(self.base)
         self.usual_at = [0] * len(self.base)
-        self.try_span = [0.0] * len(self.base)  # how long clients wait for one try
+        self.try_span = [0] * len(self.base)  # how long clients wait for a first try: what most tries state
+        self.try_votes = [0] * len(self.base)  # tries of late that stated it, less those that did not
         self.pressure = PRESSURE_PRIOR
         self.press_sum = self.press_count = 0.0
         self.pressed_at = 0
@@ -1061,11 +1066,10 @@
         spec = req.spec
         left = event.deadline_ns - self.now
         usual = self.usual[event.cls]
-        span = self.try_span[event.cls]
         if not event.is_retry:
-            span = max(left, span + TRY_FADE * (left - span))
-            self.try_span[event.cls] = span
-        if left < span - 2 * self.settings.tick_ns:
+            self._vote_span(event.cls, left)
+        span = self.try_span[event.cls]
+        if left < span - 2 * self.settings.tick_ns and self.try_votes[event.cls] >= TRY_SURE:
             req.age = spec.deadline_ns - left
             in_time = _part(spec.objective_ns - req.age, usual)
         elif event.is_retry and spec.deadline_ns > span:
@@ -1073,7 +1077,20 @@
             in_time = min(max(spec.objective_ns - usual, 0.0) / (spec.deadline_ns - span), 1.0)
         else:
             in_time = 1.0
-        return (in_time + (1.0 - in_time) * spec.late_worth) * _part(left, usual)
+        return max((in_time + (1.0 - in_time) * spec.late_worth) * _part(left, usual), VALUE_LEAST)
+
+    def _vote_span(self, cls: int, left: int) -> None:
+        """Learn the wait that first tries state as the one of a majority (Boyer and Moore, 1981).
+
+        Guards against clients that don't mark later tries and may wait longer for these: by the longest
+        wait all their first tries looked old, were refused, and came again with that longest wait.
+        """
+        if abs(left - self.try_span[cls]) <= 2 * self.settings.tick_ns:
+            self.try_votes[cls] = min(self.try_votes[cls] + 1, TRY_MOST)
+        elif self.try_votes[cls]:
+            self.try_votes[cls] -= 1
+        else:
+            self.try_span[cls] = left
 
     def _admit(self, req: Open, value: float) -> bool:
         """Refuse early what would make the requests in flight outgrow what is answered in time.
