--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -7,15 +7,18 @@
 import json
 import logging
 import os
+import random
 import resource
 import signal
 import socket
 import sys
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import uvloop
 
 from .admission.addresses import Caps
+from .admission.listener import Listener
 from .interface import Settings
 from .net.discovery import ListError, Names, News, read_news, split_address
 from .net.engine import Engine
@@ -23,6 +26,11 @@
 from .net.peers import Address, Peers
 from .settings import Transport, nested_settings, nested_transport
 
+if TYPE_CHECKING:
+    from .operators import Service
+    from .routing.plan import Plan
+    from .routing.services import Services
+
 log = logging.getLogger("dykefold")
 
 BACKLOG = 512
@@ -101,27 +109,28 @@
 def _read_caps(service: str | None) -> Caps:
     if not service:
         return Caps()
+    read = _read_service(service)
+    if read.plan is not None:
+        text = f"{service}: pools and routes are for `serve`; beside the platform's file they have no meaning"
+        raise ConfigError(text, code=2)
+    return read.caps
+
+
+def _read_service(path: str) -> Service:
     from .operators import ServiceError, read_service  # not part of the platform's sidecar
 
     try:
-        return read_service(service)
+        return read_service(path)
     except ServiceError as error:
         raise ConfigError("\n".join(error.lines()), code=2) from None
 
 
 def start_engine(loop: asyncio.AbstractEventLoop, config: Config) -> Engine:
-    return Engine(
-        loop,
-        config.settings,
-        config.transport,
-        config.seed,
-        config.sockets,
-        config.memory,
-        config.discovery,
-        config.names,
-        config.known,
-        config.caps,
+    engine = Engine(loop, config.sockets, config.memory, config.caps)
+    engine.serve_one(
+        config.settings, config.transport, config.seed, config.discovery, config.names, config.known
     )
+    return engine
 
 
 def reload(engine: Engine, path: str | None, service: str | None = None) -> None:
@@ -132,7 +141,8 @@
         log.warning("the configuration stays as it was: %s", error)
         return
     engine.limit(config.sockets, config.caps)
-    engine.pool.discovery.turn(config.discovery)
+    if engine.pool.discovery is not None:
+        engine.pool.discovery.turn(config.discovery)
 
 
 async def run(config: Config, path: str | None, service: str | None) -> None:
@@ -149,20 +159,58 @@
         listener = engine.listen(socket.create_server(config.listen, backlog=BACKLOG))
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
+    await _until_stopped(engine, config.name, listener)
+
+
+async def _until_stopped(engine: Engine, name: str, listener: Listener) -> None:
     # What was made until now lives as long as the process: collections need not look at it again, nor
     # come as often as for a program that makes cycles.
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
-    log.info("%s listens at %s:%d", config.name, *listener.address)
+    log.info("%s listens at %s:%d", name, *listener.address)
     await engine.stopped
     engine.close()
 
 
+async def serve(service: Service, plan: Plan, path: str) -> None:
+    """Serve the pools of an operator's file until a planned end; SIGHUP reads the file again."""
+    from .routing.services import Services  # not part of the platform's sidecar
+
+    loop = asyncio.get_running_loop()
+    engine = Engine(loop, min(plan.sockets, _system_limit()), plan.memory_bytes, service.caps)
+    services = Services(engine, lambda: random.getrandbits(63))
+    try:
+        services.apply(plan)
+    except ValueError as error:
+        raise ConfigError(f"{path}: {error}", code=2) from None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, engine.drain)
+    loop.add_signal_handler(signal.SIGHUP, reload_services, services, path)
+    try:
+        listener = engine.listen(socket.create_server(plan.listen, backlog=BACKLOG))
+    except OSError as error:
+        raise ConfigError(f"can't listen: {error}") from None
+    await _until_stopped(engine, plan.name, listener)
+
+
+def reload_services(services: Services, path: str) -> None:
+    """Read an operator's file again. What can't be read or carried out changes nothing."""
+    try:
+        read = _read_service(path)
+        if read.plan is None:
+            raise ConfigError(f"{path}: pools: missing")
+        services.apply(read.plan)
+    except (ConfigError, ValueError) as error:
+        log.warning("the services stay as they were: %s", error)
+        return
+    services.engine.limit(min(read.plan.sockets, _system_limit()), read.caps)
+
+
 def check(path: str) -> int:
     """Check an operator's file: all that is wrong with it, and exit code 2 if anything is."""
     try:
-        _read_caps(path)
+        _read_service(path)
     except ConfigError as error:
         print(error, file=sys.stderr)
         return error.code
@@ -173,14 +221,18 @@
 def main() -> int:
     if len(sys.argv) == 3 and sys.argv[1] == "check":
         return check(sys.argv[2])
-    if len(sys.argv) > 1:
-        print("usage: python -m dykefold [check FILE]", file=sys.stderr)
+    serves = len(sys.argv) == 3 and sys.argv[1] == "serve"
+    if len(sys.argv) > 1 and not serves:
+        print("usage: python -m dykefold [check FILE | serve FILE]", file=sys.stderr)
         return 2
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     # Guards the start and the end, when no loop listens: the signal's default would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path, service = os.environ.get("GW_CONFIG"), os.environ.get("DYKEFOLD_SERVICE")
     try:
+        if serves:
+            serve_file(sys.argv[2])
+            return 0
         config = read_config(path, service)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(run(config, path, service))
@@ -191,5 +243,16 @@
     return 0
 
 
+def serve_file(path: str) -> None:
+    """Serve an operator's file until a planned end; ConfigError if it can't be."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens
+    service = _read_service(path)
+    if service.plan is None:
+        raise ConfigError(f"{path}: pools: missing; expected at least one table [pools.NAME]", code=2)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(service, service.plan, path))
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/dykefold/cli/app.py
@@ -0,0 +1,23 @@
+"""The application that each subsystem adds its commands to."""
+
+from __future__ import annotations
+
+from importlib.metadata import PackageNotFoundError, version
+
+import typer
+
+app = typer.Typer(no_args_is_help=True, add_completion=True, pretty_exceptions_enable=False)
+
+
+@app.callback()
+def describe() -> None:
+    """A sidecar load balancer."""
+
+
+@app.command("version")
+def show_version() -> None:
+    """Print the version."""
+    try:
+        typer.echo(version("dykefold"))
+    except PackageNotFoundError:  # run from a checkout
+        typer.echo("dykefold (not installed)")
--- /dev/null
+++ b/dykefold/cli/logs.py
@@ -0,0 +1,39 @@
+"""Log lines of the process as structured events: key=value for people, JSON lines for programs."""
+
+from __future__ import annotations
+
+import logging
+from enum import StrEnum
+from typing import Any
+
+import structlog
+
+
+class LogFormat(StrEnum):
+    TEXT = "text"
+    JSON = "json"
+
+
+def set_up(form: LogFormat) -> None:
+    """Send every line of the process's loggers to standard error in one form."""
+    shared: list[Any] = [
+        structlog.stdlib.add_log_level,
+        structlog.stdlib.add_logger_name,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        structlog.processors.format_exc_info,
+    ]
+    last = (
+        structlog.processors.JSONRenderer()
+        if form is LogFormat.JSON
+        else structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "logger", "event"])
+    )
+    handler = logging.StreamHandler()
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=shared,
+            processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, last],
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
--- /dev/null
+++ b/dykefold/cli/services.py
@@ -0,0 +1,100 @@
+"""`serve` and `check`: the operator's file."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from ..__main__ import ConfigError, serve_file
+from ..operators import Service, ServiceError, read_service
+from .logs import LogFormat, set_up
+
+File = Annotated[Path, typer.Argument(metavar="FILE", help="The operator's file, as deploy/service.toml.")]
+
+
+def add_to(app: typer.Typer) -> None:
+    """Add the commands of this file."""
+    app.command("serve")(serve)
+    app.command("check")(check)
+
+
+def serve(
+    file: File,
+    log_format: Annotated[LogFormat, typer.Option(help="Form of the log lines.")] = LogFormat.TEXT,
+) -> None:
+    """Serve the pools and routes of FILE until SIGTERM; SIGHUP reads FILE again."""
+    set_up(log_format)
+    try:
+        serve_file(str(file))
+    except ConfigError as error:
+        typer.echo(f"dykefold: {error}", err=True)
+        raise typer.Exit(error.code) from None
+
+
+def check(
+    file: File,
+    as_json: Annotated[bool, typer.Option("--json", help="One JSON object for programs.")] = False,
+) -> None:
+    """Check FILE whole: all that is wrong with it, or the pools and routes that it asks for."""
+    try:
+        service = read_service(str(file))
+    except ServiceError as error:
+        if as_json:
+            typer.echo(json.dumps({"file": str(file), "good": False, "problems": error.problems}))
+        else:
+            for line in error.lines():
+                typer.echo(line, err=True)
+        raise typer.Exit(2) from None
+    if as_json:
+        typer.echo(json.dumps({"file": str(file), "good": True, **_described(service)}))
+        return
+    typer.echo(f"{file}: good")
+    if service.plan is not None:
+        _show(service)
+
+
+def _described(service: Service) -> dict:
+    plan = service.plan
+    if plan is None:
+        return {"pools": [], "routes": []}
+    return {
+        "pools": [
+            {
+                "name": pool.name,
+                "servers": len(pool.servers),
+                "open_least": pool.part.least,
+                "open_most": pool.part.most,
+                "classes": [spec.name for spec in pool.settings.classes],
+            }
+            for pool in plan.pools.values()
+        ],
+        "routes": [
+            {
+                "name": rule.name,
+                "pool": rule.pool,
+                "host": rule.host,
+                "path": rule.path,
+                "prefix": rule.prefix,
+            }
+            for rule in plan.rules
+        ],
+    }
+
+
+def _show(service: Service) -> None:
+    """The same for people."""
+    console = Console()
+    for title, rows in _described(service).items():
+        table = Table(title=title)
+        for column in rows[0] if rows else ():
+            table.add_column(column)
+        for row in rows:
+            table.add_row(
+                *(", ".join(v) if isinstance(v, list) else "" if v is None else str(v) for v in row.values())
+            )
+        console.print(table)
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -134,6 +134,7 @@
 LIMIT_AGAIN = 0.8  # of the limit after the first of the latest cuts counts as known good
 LIMIT_WARY = 8  # shortest deadlines after a refusal
 LIMIT_SLACK = 4.0  # times what is in flight and a request for each server, for the first deadline
+LIMIT_FIRST = 8  # servers that it counts with then at the least: a pool of one opens to all its desks at once
 LIMIT_SURGE = 2.0  # times what the answers of late would keep in flight at the wanted latency, then
 LIMIT_SMALL = 4.0  # ... and so many requests, for sidecars that rarely send
 LIMIT_IDLE = 2.0  # ... and so many for each ready server, all sidecars together
@@ -1140,7 +1141,8 @@
         else:
             self.pressed = False
             if self.now - self.born < self.shortest:
-                most = LIMIT_SLACK * (self.inflight_lately + self.ready_count)  # no answers to go by yet
+                servers = max(self.ready_count, LIMIT_FIRST)  # no answers to go by yet
+                most = LIMIT_SLACK * (self.inflight_lately + servers)
                 most = most if first else max(most, self.limit)
             else:
                 # A limit that follows what is in flight lets a surge in before the first late answer.
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -1,4 +1,7 @@
-"""The node: what a process has once, however many pools it serves. Listener, clients, budgets, the end."""
+"""The node: what a process has once, however many pools it serves. Listener, clients, budgets, the end.
+
+The platform's sidecar is a node with one pool (`serve_one`). Several come by routes: see `routing/`.
+"""
 
 from __future__ import annotations
 
@@ -20,7 +23,7 @@
 from .clock import MS, Clock
 from .deadlines import Deadlines
 from .discovery import Names, News
-from .front import Call, Front, Grammar
+from .front import Call, Front, Grammar, Reader
 from .lag import Lag
 from .limits import Memory
 from .peers import Address, Peers
@@ -43,21 +46,22 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        settings: Settings,
-        transport: Transport,
-        seed: int,
         sockets: int,
         memory: int,
-        discovery: Address,
-        names: Names,
-        known: News,
         caps: Caps | None = None,
     ) -> None:
+        """Make a node with no pool.
+
+        Args:
+            sockets: descriptors that the process may hold.
+            memory: bytes that it may take.
+        """
         self.loop = loop
-        self.settings = settings
         self.clock = Clock()
         self.now = self.clock.now
-        self.grammar = Grammar(settings)
+        self.grammar: Reader
+        self.pools: set[Pool] = set()  # those that are served and those that retire
+        self.half_close = False
         self.budget = Budget(sockets)
         self.memory = Memory(memory)
         self.clients = Clients(Admission(self._share(), caps or Caps()))
@@ -72,9 +76,26 @@
         self.stopped = loop.create_future()
         self.listener: Listener | None = None
         self.reported_at = -math.inf  # when an exception of the module was last logged
-        self.pool = Pool(self, settings, transport, seed, discovery, names, known)
         self._sweep()
 
+    def serve_one(
+        self,
+        settings: Settings,
+        transport: Transport,
+        seed: int,
+        discovery: Address,
+        names: Names,
+        known: News,
+    ) -> None:
+        """Give all requests to one pool, as on the platform."""
+        self.pool = Pool(self, settings, transport, seed, discovery, names, known)
+        self.pools.add(self.pool)
+        self.grammar = Grammar(settings, self.pool)
+
+    def make_room(self) -> bool:
+        """Close a connection to a server that no pool needs; whether there was one."""
+        return any(pool.upstreams.let_one_go() for pool in self.pools)
+
     def fault(self, text: str) -> None:
         if monotonic() - self.reported_at >= 1.0:
             self.reported_at = monotonic()
@@ -95,24 +116,19 @@
                 self.ids.discard(old.popleft()[1])
         if call.ident in self.ids:
             return 409, b"", b"a request with this id is open or has just been\n"
+        pool: Pool = call.pool
         if not self.clients.open_request(front.client):
-            return 429, self._come_back(), b"too many open requests from this address\n"
-        if len(self.pool.held) >= self.pool.max_open or not self.budget.claim():
+            return 429, _come_back(pool), b"too many open requests from this address\n"
+        if len(pool.held) >= pool.max_open or pool.closed or not pool.budget.claim():
             self.clients.close_request(front.client, served=False)
             self.clients.note(Reason.REQUESTS, front.client.host)
-            return 503, self._come_back(), b"too many open requests\n"
+            return 503, _come_back(pool), b"too many open requests\n"
         self.ids.add(call.ident)
         return None
 
-    def _come_back(self) -> bytes:
-        """The advice that goes with a refusal, where the settings allow it."""
-        if not self.settings.retry_after:
-            return b""
-        return retry_after(min(RETRY_AFTER_NS, self.settings.max_retry_after_ns))
-
     def take(self, front: Front, call: Call) -> None:
         """Take an admitted request: from here on it is owed one final answer."""
-        self.pool.take(front, call)
+        call.pool.take(front, call)
 
     def settled(self, asker: Asker, call: Call, served: bool) -> None:
         """A request is over: give back what it had of the process."""
@@ -128,7 +144,7 @@
         self.clients.remove(front.client)
         if self.listener is not None:
             self.listener.released()
-        if (call is None or not self.pool.drop(call)) and self.draining:
+        if (call is None or not call.pool.drop(call)) and self.draining:
             self._end_if_done()
 
     # Limits
@@ -145,12 +161,14 @@
         """Take other limits while running: what is open beyond them goes, except what a request needs."""
         self.budget.resize(sockets)
         self.clients.resize(self._share(), caps)
-        self.pool.upstreams.shrink()
+        for pool in self.pools:
+            pool.upstreams.shrink()
 
     # Housekeeping and the end
 
     def _sweep(self) -> None:
-        self.pool.upstreams.sweep()
+        for pool in self.pools:
+            pool.upstreams.sweep()
         self.clients.sweep()
         self.loop.call_later(SWEEP_EVERY, self._sweep)
 
@@ -159,10 +177,10 @@
         if self.draining:
             return
         self.draining = True
-        log.info("draining: %d requests held", len(self.pool.held))
+        log.info("draining: %d requests held", sum(len(pool.held) for pool in self.pools))
         self.loop.call_later(ACCEPT_AFTER_TERM, self._stop_accepting)
         self.loop.call_later(TAKE_AFTER_TERM, self._stop_taking)
-        self.loop.call_later(ANSWER_AFTER_TERM, self.pool.answer_all)
+        self.loop.call_later(ANSWER_AFTER_TERM, self._answer_all)
         self.loop.call_later(ANSWER_AFTER_TERM + FLUSH_AFTER_TERM, self._stop)
 
     def _stop_accepting(self) -> None:
@@ -173,15 +191,23 @@
         """
         self._close_listener()
         self._end_if_done()
-        self.loop.call_later(QUIET_AFTER_TERM, self._await_quiet, self.pool.next_id)
+        self.loop.call_later(QUIET_AFTER_TERM, self._await_quiet, self._taken())
 
-    def _await_quiet(self, next_id: int) -> None:
+    def _await_quiet(self, before: int) -> None:
         if not self.taking:
             return
-        if self.pool.next_id == next_id:
+        if self._taken() == before:
             self._stop_taking()
         else:
-            self.loop.call_later(QUIET_AFTER_TERM, self._await_quiet, self.pool.next_id)
+            self.loop.call_later(QUIET_AFTER_TERM, self._await_quiet, self._taken())
+
+    def _taken(self) -> int:
+        """Requests that the pools have taken so far."""
+        return sum(pool.next_id for pool in self.pools)
+
+    def _answer_all(self) -> None:
+        for pool in self.pools:
+            pool.answer_all()
 
     def _close_listener(self) -> None:
         if self.listener is not None:
@@ -210,8 +236,16 @@
     def close(self) -> None:
         """Let go of all sockets."""
         self.lag.close()
-        self.pool.close()
+        for pool in self.pools:
+            pool.close()
         if self.peers is not None and self.peers.transport is not None:
             self.peers.transport.close()
         for front in list(self.clients.all.values()):
             front.close()
+
+
+def _come_back(pool: Pool) -> bytes:
+    """The advice that goes with a refusal, where the settings allow it."""
+    if not pool.settings.retry_after:
+        return b""
+    return retry_after(min(RETRY_AFTER_NS, pool.settings.max_retry_after_ns))
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass
 from functools import lru_cache
 from hashlib import blake2b
+from http import HTTPStatus
 from time import monotonic
-from typing import Protocol
+from typing import Any, Protocol
 
 import httptools
 
@@ -20,7 +21,7 @@
 from .backlog import SLICE_BYTES, Backlog, cut
 from .lag import Lag
 from .limits import Memory
-from .upstream import HOP_BY_HOP, gather
+from .upstream import HOP_BY_HOP, Manner, gather
 
 BODY_MOST = 64 * 1024
 HEADERS_MOST = 32 * 1024
@@ -33,21 +34,8 @@
 DEADLINE_UNITS = {b"m": 1_000_000, b"u": 1_000}
 DEADLINES_MOST = 256  # that are remembered: clients send the same few again and again
 COST = re.compile(rb"\d{1,12}(?:\.\d{1,9})?")
-REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    501: b"Not Implemented",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+BODILESS = frozenset((204, 304))  # answers that have no body and need no length (RFC 9110, 8.6)
 READY_TARGET = b"/-/ready"
 # Twice or in two forms, each reader may believe another one.
 SINGLE = frozenset(
@@ -63,6 +51,7 @@
         super().__init__(text)
         self.code = code
         self.keep_alive = True
+        self.head = False  # its answer has no body
 
 
 @dataclass(slots=True)
@@ -82,7 +71,10 @@
     is_retry: bool
     keep_alive: bool
     size: int = 0  # of what is held of it
-    ticket: int = 0  # the engine's number for it
+    ticket: int = 0  # the pool's number for it
+    pool: Any = None  # which takes it: a request keeps the one that it was read for
+    manner: Manner = Manner.PLATFORM
+    told: bytes = b""  # header lines of its answer, whatever that is
 
 
 @dataclass(slots=True)
@@ -93,7 +85,8 @@
 
 
 @lru_cache(maxsize=DEADLINES_MOST)
-def _parse_deadline(value: bytes) -> int:
+def parse_deadline(value: bytes) -> int:
+    """Nanoseconds of an X-Deadline value; RequestError if it is none."""
     match = DEADLINE.fullmatch(value.strip())
     if match is None:
         raise RequestError(400, "X-Deadline is no number with a unit m or u")
@@ -108,7 +101,8 @@
 class Grammar:
     """What the settings say of requests: which classes and tenants there are."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, pool: object) -> None:
+        self.pool = pool  # of which the requests are
         self.specs = settings.classes
         self.classes = {spec.name.encode(): number for number, spec in enumerate(settings.classes)}
         self.tenants = {tenant.name.encode(): number for number, tenant in enumerate(settings.tenants)}
@@ -145,7 +139,7 @@
         wait = spec.deadline_ns
         if (value := headers.get(b"x-deadline")) is not None:
             # The class's deadline covers all tries; a client that states more does not wait for it.
-            wait = min(wait, _parse_deadline(value))
+            wait = min(wait, parse_deadline(value))
         tenant = 0
         if self.tenants and (value := headers.get(b"x-tenant")) is not None:
             if value not in self.tenants:
@@ -173,9 +167,27 @@
             cost,
             headers.get(b"x-retry") == b"1",
             keep_alive,
+            pool=self.pool,
         )
 
 
+class Reader(Protocol):
+    """What makes a request of a message, as `Grammar` does."""
+
+    def read(
+        self,
+        now: int,
+        method: bytes,
+        target: bytes,
+        headers: dict[bytes, bytes],
+        lines: list[bytes],
+        body: bytes,
+        keep_alive: bool,
+    ) -> Call:
+        """Read a whole message; RequestError where it is answered here."""
+        ...
+
+
 class Taker(Protocol):
     """Who takes requests, as a client's connection needs it."""
 
@@ -184,9 +196,10 @@
     memory: Memory
     backlog: Backlog
     lag: Lag
-    grammar: Grammar
+    grammar: Reader
     draining: bool
     taking: bool
+    half_close: bool  # a client that has ended its side may still wait for answers
 
     @property
     def now(self) -> Callable[[], int]:
@@ -227,6 +240,7 @@
         self.unread = False  # the client leaves answers unread
         self.slow: asyncio.TimerHandle | None = None
         self.leaving = False  # it is to be closed as soon as it has a transport
+        self.over = False  # the client has ended its side, and waits for answers
         self.messages = 0  # whole ones so far
         self.held_size = 0
         self.unfed: memoryview | None = None  # of what came, until its turn
@@ -330,8 +344,12 @@
         elif self.idle:
             self.close()
 
-    def eof_received(self) -> None:
+    def eof_received(self) -> bool:
+        if self.engine.half_close and self.busy and not self.begun and self.unfed is None:
+            self.over = True
+            return True
         self.close()
+        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
@@ -359,7 +377,7 @@
             self.slow = None
         self._pump()
         self.engine.clients.place(self)
-        if self.idle and not self.engine.taking:
+        if self.idle and (self.over or not self.engine.taking):
             self.close()
 
     # The parser's calls
@@ -375,8 +393,11 @@
             return
         low = name.lower()
         headers = self.headers
-        if low in headers and low in SINGLE:
-            self.doubled = True
+        if low in headers:
+            if low in SINGLE:
+                self.doubled = True
+            elif low == b"host":
+                value = headers[low] + b", " + value  # no host: routes must not choose one of two
         headers[low] = value
         if low not in NOT_PASSED_ON:
             self.lines.append(b"%b: %b\r\n" % (name, value))
@@ -453,6 +474,7 @@
                 self.waiting.append(call)
             except RequestError as problem:
                 problem.keep_alive = keep_alive
+                problem.head = self.parser.get_method() == b"HEAD"
                 self.waiting.append(problem)
                 self._release(self.message_size)
         self._end_message()
@@ -509,13 +531,14 @@
                         self.engine.take(self, item)
                     else:
                         self._release(item.size)
-                        self._respond(*refusal, item.keep_alive)
+                        self._respond(*refusal, item.keep_alive, item.manner is Manner.HEAD)
                 elif isinstance(item, Ready):
                     ok = not self.engine.draining
                     text = b"ready\n" if ok else b"draining\n"
                     self._respond(200 if ok else 503, b"", text, item.keep_alive)
                 else:
-                    self._respond(item.code, b"", f"{item}\n".encode(), item.keep_alive and not self.deaf)
+                    text = f"{item}\n".encode()
+                    self._respond(item.code, b"", text, item.keep_alive and not self.deaf, item.head)
         finally:
             self.pumping = False
         self._resume()
@@ -526,22 +549,28 @@
             return
         self.current = None
         self._release(call.size)
-        self._respond(code, headers, body, call.keep_alive)
+        if call.told:
+            headers += call.told
+        self._respond(code, headers, body, call.keep_alive, call.manner is Manner.HEAD)
         self._pump()
         self.engine.clients.place(self)
 
-    def _respond(self, code: int, headers: bytes, body: bytes, keep_alive: bool) -> None:
-        if not self.engine.taking and not self.waiting:
+    def _respond(self, code: int, headers: bytes, body: bytes, keep_alive: bool, head: bool = False) -> None:
+        if (not self.engine.taking or self.over) and not self.waiting:
             keep_alive = False
+        if code in BODILESS or (head and b"Content-Length: " in headers):
+            length = b""
+        else:
+            length = b"Content-Length: %d\r\n" % len(body)
         self._write(
-            b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n%s"
+            b"HTTP/1.1 %d %s\r\n%s%s%s\r\n%s"
             % (
                 code,
                 REASONS.get(code, b"Unknown"),
                 headers,
-                len(body),
+                length,
                 b"" if keep_alive else b"Connection: close\r\n",
-                body,
+                b"" if head else body,
             )
         )
         if keep_alive or self.transport is None or self.transport.is_closing():
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -14,7 +14,7 @@
 from typing import Any, Protocol
 
 from .. import interface as api
-from ..admission.budget import Budget
+from ..admission.budget import Allowance, Budget
 from ..admission.rules import Client
 from ..interface import Settings, State, Status
 from ..logic import Balancer
@@ -28,13 +28,14 @@
 from .limits import Memory
 from .peers import Address, Peers
 from .reports import Reports
-from .upstream import Answer, Exchange, Upstreams
+from .upstream import Answer, Exchange, Manner, Upstreams
 
 log = logging.getLogger("dykefold")
 
 ATTEMPT_MARGIN_NS = 15 * MS  # before the client's deadline the last attempt is given up
 GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
 PROBE_TIMEOUT = 0.4  # seconds
+BODIED = frozenset((b"POST", b"PUT", b"PATCH"))  # methods whose requests say that their body is empty
 
 
 class Asker(Protocol):
@@ -68,6 +69,16 @@
         ...
 
 
+class Claims(Protocol):
+    """The descriptors that a pool may set aside, as `Budget` gives them."""
+
+    upstreams: Allowance
+
+    def claim(self) -> bool: ...
+
+    def unclaim(self) -> None: ...
+
+
 class Attempt(Exchange):
     """One try of a request at one server."""
 
@@ -75,6 +86,7 @@
 
     def __init__(self, held: Held, number: int, server: int, sent_ns: int) -> None:
         super().__init__(b"", held.ended, BODY_MOST)
+        self.manner = held.call.manner
         self.held = held
         self.number = number
         self.server = server
@@ -84,7 +96,7 @@
 class Held(Limited):
     """A request that this sidecar has taken. Its limit is the last guard on its answer."""
 
-    __slots__ = ("asker", "attempts", "call", "claims", "id", "may_have_run", "out", "owed", "pool")
+    __slots__ = ("asker", "attempts", "call", "claims", "error", "id", "may_have_run", "out", "owed", "pool")
 
     def __init__(self, ident: int, call: Call, asker: Asker, pool: Pool) -> None:
         self.tick = 0
@@ -97,6 +109,7 @@
         self.claims = 1  # descriptors set aside for it
         self.may_have_run = False  # some attempt has ended without a proof that it did not
         self.owed = True  # its final answer
+        self.error: Answer | None = None  # what a server said of its failure, where that is passed on
 
     def expire(self) -> None:
         self.pool.guard(self)
@@ -112,15 +125,25 @@
         settings: Settings,
         transport: Transport,
         seed: int,
-        discovery: Address,
+        discovery: Address | None,
         names: Names,
         known: News,
+        budget: Claims | None = None,
+        elsewhere: Callable[[], bool] | None = None,
     ) -> None:
+        """Make a pool.
+
+        Args:
+            discovery: where its list of servers comes from; None where the list is only ever given.
+            known: the list to begin with.
+            budget: the descriptors that it may set aside; None for all of the process's.
+            elsewhere: closes a connection that another pool does not need; whether there was one.
+        """
         self.home = home
         self.loop = home.loop
         self.clock = home.clock
         self.now = home.clock.now
-        self.budget = home.budget
+        self.budget: Claims = budget if budget is not None else home.budget
         self.deadlines = home.deadlines
         self.settings = settings
         self.max_open = transport.max_open
@@ -136,10 +159,15 @@
             transport.conn_idle_ns / SECOND,
             home.backlog,
             home.deadlines,
+            elsewhere,
         )
-        self.discovery = Discovery(
-            home.loop, discovery, names, known.version, self.on_news, pushed=not settings.must_ask
-        )
+        self.discovery: Discovery | None = None
+        if discovery is not None:
+            self.discovery = Discovery(
+                home.loop, discovery, names, known.version, self.on_news, pushed=not settings.must_ask
+            )
+        self.closed = False
+        self.gone: Callable[[Pool], None] | None = None  # told when it has retired
         self.held: dict[int, Held] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # those out, also of requests that are over
         self.next_id = 1
@@ -148,7 +176,7 @@
         self.carry_out = self._actions()
         self._apply(known, api.ListKind.CACHED)
         if not settings.must_ask:
-            self.discovery.watch(True)
+            self._watch(True)
 
     # Events to the module, its actions
 
@@ -187,20 +215,36 @@
             api.Probe: lambda action: self._probe(action.server),
             api.CloseIdle: lambda action: self.upstreams.close_idle(action.server),
             api.Tell: self._tell,
-            api.Watch: lambda action: self.discovery.watch(action.on),
-            api.Fetch: lambda _: self.discovery.fetch(),
+            api.Watch: lambda action: self._watch(action.on),
+            api.Fetch: lambda _: self.discovery.fetch() if self.discovery is not None else None,
             api.Log: lambda action: log.info(action.text),
         }
 
     def _set_timer(self, action: api.SetTimer) -> None:
         # Whole milliseconds, upwards: the loop counts in these, and an early bell rings for nothing.
-        self.loop.call_later(-(-action.after_ns // MS) / 1000, self.post, api.Timer(action.token))
+        self.loop.call_later(-(-action.after_ns // MS) / 1000, self._ring, action.token)
+
+    def _ring(self, token: int) -> None:
+        if not self.closed:
+            self.post(api.Timer(token))
+
+    def _watch(self, on: bool) -> None:
+        if self.discovery is not None:
+            self.discovery.watch(on)
 
     def _fail(self, action: api.Fail) -> None:
         held = self.held.get(action.id)
-        if held is not None:
+        if held is None:
+            return
+        if held.error is not None:
+            self._pass_on(held, held.error)
+        else:
             self._finish(held, 502, b"", b"failed\n")
 
+    def _pass_on(self, held: Held, answer: Answer) -> None:
+        lines = b"".join(b"%s: %s\r\n" % header for header in answer.headers)
+        self._finish(held, answer.code, lines, answer.body)
+
     def _tell(self, action: api.Tell) -> None:
         if self.home.peers is not None:
             self.home.peers.tell(action.data, action.peer)
@@ -246,7 +290,7 @@
 
     def _finish(self, held: Held, code: int, headers: bytes, body: bytes) -> None:
         """Give the one final answer."""
-        self._settle(held, served=code == 200)
+        self._settle(held, served=code < 400)
         held.asker.answer(held.call, code, headers, body)
 
     def _settle(self, held: Held, served: bool = False) -> None:
@@ -255,6 +299,8 @@
         self.held.pop(held.id, None)
         self.deadlines.stop(held)
         self.home.settled(held.asker, held.call, served)
+        if self.gone is not None:
+            self.loop.call_soon(self._leave_if_done)
 
     def _unclaim(self, held: Held) -> None:
         """Give back what was set aside for attempts that no longer can be; one that is out keeps its own."""
@@ -318,7 +364,8 @@
 
     @staticmethod
     def _payload(call: Call, wait: int) -> bytes:
-        length = b"Content-Length: %d\r\n" % len(call.body) if call.body or call.method == b"POST" else b""
+        bodied = call.body or call.method in BODIED
+        length = b"Content-Length: %d\r\n" % len(call.body) if bodied else b""
         return b"%s %s HTTP/1.1\r\n%sX-Deadline: %dm\r\n%s\r\n%s" % (
             call.method,
             call.target,
@@ -340,10 +387,13 @@
             if answer.load and self.reports.columns:
                 report = self.reports.read(answer.load)
             if status is Status.OK and held.owed:
-                lines = b"".join(b"%s: %s\r\n" % header for header in answer.headers)
-                self._finish(held, 200, lines, answer.body)
+                self._pass_on(held, answer)
+            elif status is Status.ERROR and held.call.manner is not Manner.PLATFORM:
+                held.error = answer
         took = self.now() - attempt.sent_ns
         self.post(api.Outcome(held.id, attempt.number, attempt.server, status, took, not held.owed, report))
+        if self.gone is not None:
+            self.loop.call_soon(self._leave_if_done)
 
     def _cancel(self, action: api.Cancel) -> None:
         attempt = self.attempts.get((action.id, action.attempt))
@@ -369,6 +419,9 @@
     # The list of servers
 
     def on_news(self, news: News | None) -> None:
+        """Take a list, a change of it, or that discovery failed."""
+        if self.closed:
+            return
         if news is None:
             self.post(api.Membership(api.ListKind.FAILED, 0, []))
         else:
@@ -412,9 +465,27 @@
     def on_peer(self, sender: int, data: bytes) -> None:
         self.post(api.PeerMessage(sender, data))
 
+    def retire(self, gone: Callable[[Pool], None]) -> None:
+        """Take part until what is held and what is out has ended, then let go of everything.
+
+        Args:
+            gone: called once, when no request, attempt or connection of it is left.
+        """
+        self.gone = gone
+        self._leave_if_done()
+
+    def _leave_if_done(self) -> None:
+        if self.gone is None or self.held or self.attempts:
+            return
+        gone, self.gone = self.gone, None
+        self.close()
+        gone(self)
+
     def close(self) -> None:
         """Let go of all sockets."""
-        self.discovery.close()
+        self.closed = True
+        if self.discovery is not None:
+            self.discovery.close()
         self.upstreams.close()
 
 
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -12,6 +12,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import IntEnum
 from time import monotonic
 
 import httptools
@@ -55,19 +56,28 @@
     load: bytes
 
 
+class Manner(IntEnum):
+    """How what a server answers is understood."""
+
+    PLATFORM = 0  # 200 is served, 503 or 504 with X-Not-Run never ran, all else has failed
+    USUAL = 1  # whatever is under 500 is served as it is
+    HEAD = 2  # likewise, and no body follows (RFC 9110, 9.3.2)
+
+
 Done = Callable[["Exchange", Status, Answer | None], None]
 
 
 class Exchange(Limited):
     """One request on its way to one server, until its one end."""
 
-    __slots__ = ("answer_most", "connection", "deadlines", "done", "opening", "payload")
+    __slots__ = ("answer_most", "connection", "deadlines", "done", "manner", "opening", "payload")
 
     def __init__(self, payload: bytes, done: Done, answer_most: int) -> None:
         self.tick = 0
         self.payload = payload
         self.done: Done | None = done
         self.answer_most = answer_most
+        self.manner = Manner.PLATFORM
         self.connection: Connection | None = None  # once the first byte has gone out
         self.opening: asyncio.Task[None] | None = None  # while a connection is being made
         self.deadlines: Deadlines | None = None  # where its time limit runs
@@ -252,6 +262,15 @@
             return
         self.in_body = True
         assert self.exchange is not None
+        if self.exchange.manner:
+            code = self.parser.get_status_code()
+            if self.exchange.manner is Manner.HEAD:
+                # The parser waits for a body that does not come: the connection is of no further use.
+                headers = [*self.headers, (b"Content-Length", self.length)] if self.length else self.headers
+                self.whole = Answer(code, headers, b"", self.not_run, self.load)
+                return
+            if code in (204, 304):
+                return
         # What can't fit, or has no end but the connection's, is known to be of no use before it comes.
         if self.encoding:
             self.spoilt = self.encoding.lower() != b"chunked"
@@ -321,7 +340,7 @@
             self.upstreams.keep(self, now)
         else:
             self.close()
-        exchange.end(classify(answer), answer)
+        exchange.end(classify(answer, exchange.manner), answer)
 
     def _let_go(self) -> None:
         """Of what an answer took while it came."""
@@ -363,9 +382,9 @@
     return held
 
 
-def classify(answer: Answer) -> Status:
+def classify(answer: Answer, manner: Manner = Manner.PLATFORM) -> Status:
     """What an answer proves. Only the header proves that a request never ran, not the code alone."""
-    if answer.code == 200:
+    if answer.code == 200 or (manner and answer.code < 500):
         return Status.OK
     if answer.code in (503, 504) and answer.not_run:
         return Status.FULL
@@ -384,8 +403,10 @@
         idle_most: float,
         backlog: Backlog | None = None,
         deadlines: Deadlines | None = None,
+        elsewhere: Callable[[], bool] | None = None,
     ) -> None:
         self.loop = loop
+        self.elsewhere = elsewhere  # closes a connection that another pool does not need
         self.deadlines = deadlines or Deadlines(loop)
         self.backlog = backlog or Backlog(loop)
         self.lag = self.backlog.lag
@@ -542,6 +563,9 @@
         return connection
 
     def _make_room(self) -> bool:
+        return self.let_one_go() or (self.elsewhere is not None and self.elsewhere())
+
+    def let_one_go(self) -> bool:
         """Close a connection that nobody needs: the one idle for longest, or one still being made."""
         if self.idle:
             next(iter(self.idle)).close()
--- a/dykefold/operators.py
+++ b/dykefold/operators.py
@@ -7,13 +7,19 @@
 from __future__ import annotations
 
 import tomllib
+from dataclasses import dataclass
 from ipaddress import ip_network
-from typing import Annotated, Any
+from typing import Annotated
 
 import msgspec
 from msgspec import Meta
 
 from .admission.addresses import Caps
+from .routing.config import read_plan, struct_problems
+from .routing.plan import Plan
+
+PLANNED = ("node", "pools", "routes")
+TABLES = ("admission", *PLANNED)
 
 Positive = Annotated[int, Meta(ge=1)]
 Count = Annotated[int, Meta(ge=0)]
@@ -57,9 +63,6 @@
         )
 
 
-TABLES: dict[str, type[msgspec.Struct]] = {"admission": AdmissionTable}
-
-
 class ServiceError(Exception):
     """The file can't be used; `problems` has one line for each thing wrong with it."""
 
@@ -72,7 +75,15 @@
         return [f"{self.path}: {problem}" for problem in self.problems]
 
 
-def read_service(path: str) -> Caps:
+@dataclass(frozen=True, slots=True)
+class Service:
+    """What the file asks for. `plan` is None where it names no pool."""
+
+    caps: Caps
+    plan: Plan | None
+
+
+def read_service(path: str) -> Service:
     """Read the file; ServiceError with all that is wrong at once."""
     try:
         with open(path, "rb") as file:
@@ -84,37 +95,25 @@
     problems = [
         f"{name}: unknown; expected one of {', '.join(TABLES)}" for name in data if name not in TABLES
     ]
-    for name, kind in TABLES.items():
-        problems += _table_problems(name, data.get(name, {}), kind)
+    admission = data.get("admission", {})
+    problems += struct_problems("admission", admission, AdmissionTable)
+    known = admission.get("known") if isinstance(admission, dict) else None
+    if isinstance(known, list):
+        problems += [problem for text in known if (problem := _network_problem(text))]
+    plan = None
+    if any(name in data for name in PLANNED):
+        plan, more = read_plan(data)
+        problems += more
     if problems:
         raise ServiceError(path, problems)
-    return msgspec.convert(data.get("admission", {}), AdmissionTable).caps()
-
-
-def _table_problems(table: str, values: Any, kind: type[msgspec.Struct]) -> list[str]:
-    """Check key by key, since a conversion of the whole tells the first problem only."""
-    if not isinstance(values, dict):
-        return [f"{table} = {values!r}: expected a table"]
-    fields = {field.name: field for field in msgspec.structs.fields(kind)}
-    problems = []
-    for key, value in values.items():
-        field = fields.get(key)
-        if field is None:
-            problems.append(f"{table}.{key}: unknown; expected one of {', '.join(fields)}")
-            continue
-        try:
-            msgspec.convert(value, field.type)
-        except msgspec.ValidationError as error:
-            problems.append(f"{table}.{key} = {value!r}: {str(error)[:1].lower()}{str(error)[1:]}")
-            continue
-        if key == "known":
-            problems += [problem for text in value if (problem := _network_problem(table, text))]
-    return problems
-
-
-def _network_problem(table: str, text: str) -> str | None:
+    return Service(msgspec.convert(admission, AdmissionTable).caps(), plan)
+
+
+def _network_problem(text: object) -> str | None:
+    if not isinstance(text, str):
+        return None  # told as a value of the wrong type
     try:
         ip_network(text)
     except ValueError as error:
-        return f"{table}.known: {text!r}: expected a network such as 10.1.0.0/16 or 2001:db8::/48 ({error})"
+        return f"admission.known: {text!r}: expected a network such as 10.1.0.0/16 or 2001:db8::/48 ({error})"
     return None
--- /dev/null
+++ b/dykefold/routing/plan.py
@@ -0,0 +1,143 @@
+"""What an operator's file asks for, as values: pools, routes, the process they share. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..interface import Effect, RequestClass, Scope, Settings
+from .shares import Part
+from .table import Rule, Table, TableError
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+
+# Methods by what RFC 9110 says of them (9.2.1, 9.2.2); all others may never run twice.
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
+IDEMPOTENT_METHODS = frozenset(("PUT", "DELETE"))
+READ, IDEMPOTENT, WRITE = "read", "idempotent", "write"  # classes of a pool that names none
+
+
+@dataclass(frozen=True, slots=True)
+class PoolPlan:
+    """One service.
+
+    Attributes:
+        name: in routes, logs and the keys of the file.
+        settings: what its module goes by.
+        servers: addresses of its servers where the file lists them, else empty.
+        discovery: address of its discovery, or None.
+        part: descriptors and open requests that it may claim.
+        idle_ns: after which its servers may close an idle connection.
+    """
+
+    name: str
+    settings: Settings
+    servers: tuple[tuple[str, int], ...]
+    discovery: tuple[str, int] | None
+    part: Part
+    idle_ns: int
+
+    def same_service(self, other: PoolPlan) -> bool:
+        """Whether a pool made by the other plan can go on with this one, with all that it knows."""
+        return (
+            self.settings == other.settings
+            and self.idle_ns == other.idle_ns
+            and (self.discovery is None) == (other.discovery is None)
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Mapping:
+    """How the requests of a route map onto classes of its pool.
+
+    Attributes:
+        platform: by the platform's dialect, in which the first segment of the path is the class and the
+            headers are as PROTOCOL says; the rest has no meaning then.
+        classes: class by method; a method that is not named goes by RFC 9110.
+        idempotent: PUT and DELETE may be repeated.
+        make_ids: a missing X-Request-Id is made here and told in the answer.
+        deadline_ns: where a request states none; 0 for the deadline of its class.
+        key_header: lower-case name of the header that carries the key of a keyed request.
+    """
+
+    platform: bool = False
+    classes: dict[str, str] = field(default_factory=dict)
+    idempotent: bool = False
+    make_ids: bool = True
+    deadline_ns: int = 0
+    key_header: str = "idempotency-key"
+
+    def class_of(self, method: str) -> str:
+        """The name of the class that a method's requests are of."""
+        named = self.classes.get(method)
+        if named is not None:
+            return named
+        if method in SAFE_METHODS:
+            return READ
+        return IDEMPOTENT if self.idempotent and method in IDEMPOTENT_METHODS else WRITE
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """All that the file says of services.
+
+    Attributes:
+        name: of the node, in logs.
+        listen: address of the one listener.
+        sockets: descriptors that the process may hold.
+        memory_bytes: that it may take.
+        pools: by name.
+        rules: of the route table.
+        mappings: by the rule's name.
+    """
+
+    name: str
+    listen: tuple[str, int]
+    sockets: int
+    memory_bytes: int
+    pools: dict[str, PoolPlan]
+    rules: tuple[Rule, ...]
+    mappings: dict[str, Mapping]
+
+    def table(self, number: int) -> Table:
+        """The route table. Raises TableError with all that is wrong with it."""
+        return Table(number, self.rules, self.pools)
+
+    def problems(self) -> list[str]:
+        """What is wrong across tables of the file, a line each; none if the plan can be carried out."""
+        found: list[str] = []
+        try:
+            self.table(0)
+        except TableError as error:
+            found += [f"routes.{problem}" for problem in error.problems]
+        for rule in self.rules:
+            pool = self.pools.get(rule.pool)
+            if pool is not None:
+                found += _class_problems(rule.name, self.mappings[rule.name], pool)
+        return found
+
+
+def _class_problems(route: str, mapping: Mapping, pool: PoolPlan) -> list[str]:
+    known = [spec.name for spec in pool.settings.classes]
+    if mapping.platform:
+        return []
+    found = [
+        f"routes.{route}.classes.{method} = {name!r}: expected a class of {pool.name}: {', '.join(known)}"
+        for method, name in mapping.classes.items()
+        if name not in known
+    ]
+    if not {READ, IDEMPOTENT, WRITE} <= set(known) and not mapping.classes:
+        found.append(
+            f"routes.{route}.classes: missing; {pool.name} has classes of its own ({', '.join(known)}),"
+            " expected which methods are of which"
+        )
+    return found
+
+
+def usual_classes(aim_ns: int, deadline_ns: int) -> list[RequestClass]:
+    """The classes of a pool that names none: what is safe, idempotent and neither by RFC 9110."""
+    return [
+        RequestClass(READ, aim_ns, deadline_ns, 1.0, 0.0, Effect.SAFE),
+        RequestClass(IDEMPOTENT, aim_ns, deadline_ns, 1.0, 0.0, Effect.KEYED, Scope.ALL, deadline_ns),
+        RequestClass(WRITE, aim_ns, deadline_ns, 1.0, 0.0, Effect.UNSAFE),
+    ]
--- a/tests/admission/test_flood.py
+++ b/tests/admission/test_flood.py
@@ -141,4 +141,5 @@
     from dykefold.admission.addresses import Caps
     from dykefold.operators import read_service
 
-    assert read_service(str(Path(__file__).parents[2] / "deploy" / "service.toml")) == Caps()
+    read = read_service(str(Path(__file__).parents[2] / "deploy" / "service.toml"))
+    assert read.caps == Caps() and read.plan is None
--- /dev/null
+++ b/tests/cli/test_cli.py
@@ -0,0 +1,128 @@
+"""The command line and the process that it starts."""
+
+import asyncio
+import json
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from net_helpers import HOST, Fake, answer_ok, ask, run
+from typer.testing import CliRunner
+
+from dykefold.cli.app import app
+
+ROOT = Path(__file__).parents[2]
+ROUTE = '[[routes]]\nname = "a"\npool = "a"\n'
+
+
+def good(*ports):
+    servers = json.dumps([f"{HOST}:{port}" for port in ports])
+    return f'[node]\nlisten = "{HOST}:0"\n[pools.a]\nservers = {servers}\n{ROUTE}'
+
+
+def play(*arguments):
+    import dykefold.cli  # noqa: F401  adds the commands
+
+    return CliRunner().invoke(app, list(arguments))
+
+
+def test_check_tells_all_that_is_wrong_and_exits_with_2(tmp_path):
+    path = tmp_path / "service.toml"
+    path.write_text(good(1).replace('pool = "a"', 'pool = "b"') + "colour = 3\n[pools.c]\n")
+    done = play("check", str(path))
+    assert done.exit_code == 2
+    told = done.stderr.splitlines()
+    assert all(line.startswith(str(path)) for line in told) and len(told) == 2
+    assert (
+        "routes[0].colour: unknown" in done.stderr and "pools.c: expected servers or discovery" in done.stderr
+    )
+    done = play("check", str(path), "--json")
+    assert done.exit_code == 2 and len(json.loads(done.stdout)["problems"]) == 2
+
+
+def test_check_describes_a_good_file(tmp_path):
+    path = tmp_path / "service.toml"
+    path.write_text(good(9001, 9002))
+    done = play("check", str(path))
+    assert done.exit_code == 0 and "good" in done.stdout and "idempotent" in done.stdout
+    told = json.loads(play("check", str(path), "--json").stdout)
+    assert told["good"] and told["pools"][0]["servers"] == 2 and told["routes"][0]["pool"] == "a"
+
+
+def test_wrong_use_and_missing_files(tmp_path):
+    assert play("check", str(tmp_path / "none")).exit_code == 2
+    assert play("serve", str(tmp_path / "none")).exit_code == 2
+    assert play("nothing").exit_code == 2
+    path = tmp_path / "service.toml"
+    path.write_text("[admission]\n")
+    assert play("serve", str(path)).exit_code == 2
+    assert play("version").exit_code == 0
+
+
+def test_serve_reloads_on_sighup_keeps_a_bad_file_out_and_ends_on_sigterm(tmp_path):
+    async def test():
+        first, second = await Fake(answer_ok).start(), await Fake(answer_ok).start()
+        path = tmp_path / "service.toml"
+        path.write_text(good(first.port))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            "from dykefold.cli import main; main()",
+            "serve",
+            str(path),
+            "--log-format",
+            "json",
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+        )
+        seen = []
+
+        async def line_with(part):
+            while True:
+                line = json.loads(await process.stderr.readline())
+                seen.append(line)
+                if part in line["event"]:
+                    return line["event"]
+
+        async with asyncio.timeout(30):
+            port = int(re.search(r":(\d+)$", await line_with("listens at"))[1])
+            assert (await ask(port, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")).code == 200
+            path.write_text(good(first.port).replace('pool = "a"', 'pool = "b"'))
+            process.send_signal(signal.SIGHUP)
+            assert "routes.a.pool = 'b'" in await line_with("stay as they were")
+            assert (await ask(port, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")).code == 200 and len(first.got) == 2
+            path.write_text(good(second.port))
+            process.send_signal(signal.SIGHUP)
+            await line_with("table 2")
+            assert (await ask(port, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")).code == 200 and len(
+                second.got
+            ) == 1
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+        assert all(line["level"] in ("info", "warning") for line in seen)
+
+    run(test())
+
+
+def test_the_demonstration_s_verdict_can_fail():
+    """It is computed from what the servers counted: each promise, broken, is told."""
+    from standins.demo import PHASES, Tally, verdict
+
+    def tallies(served=100):
+        made = {name: Tally("GET") for name in ("catalogue", "stock", "orders")}
+        for name, tally in made.items():
+            for phase in PHASES:
+                tally.asked[phase] = 100
+                tally.served[phase] = served if (phase, name) == ("down", "orders") else 100
+        return made
+
+    def reports(twice=0, strays=0):
+        counts = {"orders": 50, "orders_twice": twice, "strays": strays, "attempts": 100}
+        return {name: dict(counts) for name in ("catalogue", "stock", "orders")}
+
+    assert all(kept for kept, _ in verdict(tallies(), reports()))
+    assert [kept for kept, _ in verdict(tallies(), reports(twice=1))] == [False, True, True, True, True]
+    assert [kept for kept, _ in verdict(tallies(), reports(strays=1))] == [True, False, True, True, True]
+    assert [kept for kept, _ in verdict(tallies(served=80), reports())] == [True, True, True, False, True]
--- /dev/null
+++ b/tests/routing/test_config.py
@@ -0,0 +1,116 @@
+"""Pools and routes in the operator's file: all that is wrong at once, with place and expectation."""
+
+import tomllib
+
+import pytest
+
+from dykefold.interface import Effect
+from dykefold.routing.config import read_plan
+
+GOOD = """
+[node]
+listen = "127.0.0.1:0"
+
+[pools.catalogue]
+servers = ["127.0.0.1:9001", "127.0.0.1:9002"]
+open_least = 10
+
+[pools.orders]
+discovery = "127.0.0.1:8500"
+[pools.orders.classes.order]
+effect = "unsafe"
+aim_ms = 1200
+deadline_ms = 4000
+
+[[routes]]
+name = "catalogue"
+pool = "catalogue"
+prefix = "/catalogue"
+
+[[routes]]
+name = "orders"
+pool = "orders"
+prefix = "/orders"
+methods = ["POST"]
+classes = { POST = "order" }
+"""
+
+
+def plan_of(text):
+    return read_plan(tomllib.loads(text))
+
+
+def test_a_good_file_is_a_plan():
+    plan, problems = plan_of(GOOD)
+    assert not problems and plan is not None
+    assert plan.pools["catalogue"].servers == (("127.0.0.1", 9001), ("127.0.0.1", 9002))
+    assert [spec.effect for spec in plan.pools["catalogue"].settings.classes] == [
+        Effect.SAFE,
+        Effect.KEYED,
+        Effect.UNSAFE,
+    ]
+    assert plan.pools["orders"].settings.classes[0].deadline_ns == 4_000_000_000
+    assert plan.table(1).find("a", ("orders", "7"), "POST").pool == "orders"
+
+
+def test_all_that_is_wrong_with_the_tables_is_told_at_once():
+    plan, problems = plan_of(
+        """
+        [node]
+        listen = 8080
+        [pools.a]
+        servers = ["127.0.0.1:9001", "127.0.0.1:9001", "nowhere"]
+        open_least = 5
+        open_most = 2
+        [pools.b]
+        servers = []
+        deadline_s = 3
+        [pools.b.classes.x]
+        effect = "fast"
+        deadline_ms = 0
+        [[routes]]
+        name = "r"
+        """
+    )
+    assert plan is None
+    told = "\n".join(problems)
+    for part in (
+        "node.listen = 8080: expected `str`",
+        "pools.a.servers: 'nowhere': expected ADDRESS:PORT",
+        "pools.a.servers: an address comes twice",
+        "pools.a.open_least = 5: expected open_most = 2 at most",
+        "pools.b.deadline_s: unknown",
+        "pools.b.classes.x.effect = 'fast': invalid enum value",
+        "pools.b.classes.x.deadline_ms = 0: expected `int` >= 1",
+        "pools.b.classes.x.aim_ms: missing",
+        "routes[0].pool: missing",
+    ):
+        assert part in told, (part, told)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "problem"),
+    [
+        ('pool = "orders"', 'pool = "order"', "routes.orders.pool = 'order': no such pool"),
+        ('prefix = "/orders"', 'prefix = "/a//b"', "routes.orders.prefix = '/a//b'"),
+        ('{ POST = "order" }', '{ POST = "sale" }', "routes.orders.classes.POST = 'sale': expected a class"),
+        ('classes = { POST = "order" }', "", "routes.orders.classes: missing"),
+        ('name = "orders"', 'name = "catalogue"', "another route has this name"),
+        ('discovery = "127.0.0.1:8500"', "", "pools.orders: expected servers or discovery"),
+        ("[node]", "[nodes]", ""),
+    ],
+)
+def test_what_does_not_fit_together_is_told(old, new, problem):
+    plan, problems = plan_of(GOOD.replace(old, new))
+    if problem:
+        assert plan is None and any(problem in line for line in problems), problems
+    else:
+        assert plan is not None  # the file's own reader tells unknown tables
+
+
+@pytest.mark.parametrize(
+    "text", ["pools = 3", "routes = 3", "[pools.a]\nclasses = 3\n", "pools = {a = 3}", ""]
+)
+def test_a_file_of_another_shape_is_an_error_and_no_crash(text):
+    plan, problems = plan_of(text)
+    assert plan is None and problems
--- /dev/null
+++ b/tests/routing/test_services.py
@@ -0,0 +1,358 @@
+"""Several pools in one process: isolation, reload while requests are out, pools that come and go."""
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import socket
+import sys
+import tomllib
+import weakref
+
+import pytest
+from net_helpers import HOST, Fake, answer_ok, ask, gated, read_message, reply, reset, run, silent, until
+
+from dykefold.interface import Effect
+from dykefold.net.engine import Engine
+from dykefold.routing.config import read_plan
+from dykefold.routing.services import Services
+
+MB = 1024 * 1024
+
+
+def pool_text(name, *ports, **more):
+    lines = [f"[pools.{name}]", f"servers = {json.dumps([f'{HOST}:{port}' for port in ports])}"]
+    lines += [f"{key} = {json.dumps(value)}" for key, value in more.items()]
+    lines += ["[[routes]]", f'name = "{name}"', f'pool = "{name}"', f'prefix = "/{name}"']
+    return "\n".join(lines) + "\n"
+
+
+def plan_of(text):
+    plan, problems = read_plan(tomllib.loads(text))
+    assert plan is not None, problems
+    return plan
+
+
+class Node:
+    """A node with services in the test's own loop."""
+
+    def __init__(self, text, sockets=512):
+        self.engine = Engine(asyncio.get_running_loop(), sockets, 192 * MB)
+        self.services = Services(self.engine, lambda: 7)
+        self.apply(text)
+
+    def apply(self, text):
+        self.services.apply(plan_of(text))
+
+    def pool(self, name):
+        return self.services.by_name[name].pool
+
+    async def __aenter__(self):
+        _, self.port = self.engine.listen(socket.create_server((HOST, 0))).address
+        return self
+
+    async def __aexit__(self, *_):
+        self.engine.listener.close()
+        self.engine.close()
+
+
+def get(path, *lines, method="GET", host="parts.example"):
+    return "\r\n".join([f"{method} {path} HTTP/1.1", f"Host: {host}", *lines]).encode() + b"\r\n\r\n"
+
+
+def post(path, body=b"order"):
+    return get(path, f"Content-Length: {len(body)}", method="POST") + body
+
+
+class Load:
+    """Desks that ask one path again and again; what they were answered."""
+
+    def __init__(self, port, path, desks=8, pause_s=0.002):
+        self.codes = {}
+        self.latencies_s = []
+        self.lost = 0
+        self.going = True
+        self.tasks = [asyncio.create_task(self._desk(port, path, pause_s)) for _ in range(desks)]
+
+    async def _desk(self, port, path, pause_s):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        loop = asyncio.get_running_loop()
+        while self.going:
+            began = loop.time()
+            writer.write(get(path))
+            try:
+                code = (await read_message(reader)).code
+            except asyncio.IncompleteReadError:
+                self.lost += 1
+                return
+            self.codes[code] = self.codes.get(code, 0) + 1
+            self.latencies_s.append(loop.time() - began)
+            await asyncio.sleep(pause_s)
+        writer.close()
+
+    async def end(self):
+        self.going = False
+        await asyncio.gather(*self.tasks)
+
+    @property
+    def answered(self):
+        return sum(self.codes.values())
+
+
+def paths_of(fake):
+    return {got.first.split()[1].split("/")[1] for got in fake.got if not got.first.startswith("GET /-/")}
+
+
+async def refuse(message, reader, writer):
+    writer.write(reply(503, b"full", "X-Not-Run: 1"))
+
+
+async def garbage(message, reader, writer):
+    writer.write(b"\x00\x01 garbage\r\n\r\n")
+
+
+async def broken(message, reader, writer):
+    reset(writer)
+
+
+@pytest.mark.parametrize("failure", [refuse, silent, garbage, broken], ids=lambda act: act.__name__)
+def test_a_pool_that_fails_whole_is_not_felt_in_the_others(failure):
+    async def play():
+        acts = {"catalogue": answer_ok, "stock": answer_ok, "orders": answer_ok}
+
+        def act_of(name):
+            async def act(message, reader, writer):
+                await acts[name](message, reader, writer)
+
+            return act
+
+        fakes = {name: await Fake(act_of(name)).start() for name in acts}
+        text = "".join(pool_text(name, fake.port, deadline_ms=2000) for name, fake in fakes.items())
+        async with Node(text) as node:
+            loads = {name: Load(node.port, f"/{name}/x") for name in acts}
+            await until(lambda: all(load.answered > 100 for load in loads.values()))
+            acts["orders"] = failure
+            before = {name: load.answered for name, load in loads.items()}
+            await until(
+                lambda: all(loads[name].answered > before[name] + 300 for name in ("catalogue", "stock"))
+            )
+            for name in ("catalogue", "stock"):
+                assert set(loads[name].codes) == {200} and not loads[name].lost
+            for load in loads.values():
+                await load.end()
+            for name, fake in fakes.items():
+                assert paths_of(fake) == {name}
+
+    run(play())
+
+
+def test_a_request_keeps_the_pool_it_was_taken_by_while_the_table_changes():
+    async def play():
+        go, act = gated()
+        old, new = await Fake(act).start(), await Fake(answer_ok).start()
+        async with Node(pool_text("a", old.port)) as node:
+            pool = node.pool("a")
+            held = asyncio.create_task(ask(node.port, post("/a/1")))
+            await until(lambda: old.got)
+            node.apply(pool_text("a", new.port, attempts_most=2))  # other settings: another pool
+            assert node.pool("a") is not pool and pool in node.engine.pools
+            assert (await ask(node.port, post("/a/2"))).code == 200 and len(new.got) == 1
+            go.set()
+            assert (await held).code == 200 and len(old.got) == 1
+            await until(lambda: pool not in node.engine.pools)
+            assert pool.closed and not pool.upstreams.connections
+
+    run(play())
+
+
+def test_a_pool_that_stays_keeps_its_module_and_connections():
+    async def play():
+        fake, other = await Fake(answer_ok).start(), await Fake(answer_ok).start()
+        async with Node(pool_text("a", fake.port)) as node:
+            pool = node.pool("a")
+            assert (await ask(node.port, get("/a"))).code == 200
+            node.apply(
+                pool_text("a", fake.port).replace('prefix = "/a"', 'prefix = "/b"')
+                + pool_text("c", other.port)
+            )
+            assert node.pool("a") is pool
+            assert (await ask(node.port, get("/a"))).code == 404
+            assert (await ask(node.port, get("/b"))).code == 200 and fake.connections == 1
+            node.apply(pool_text("a", other.port))  # another list: the same pool
+            assert node.pool("a") is pool
+            assert (await ask(node.port, get("/a"))).code == 200 and len(other.got) == 1
+
+    run(play())
+
+
+def test_a_reload_that_swaps_effects_repeats_no_order_in_flight():
+    """A class that is unsafe in the old pool and safe in the new: its attempt is reset after the reload."""
+
+    async def play():
+        go = asyncio.Event()
+
+        async def break_later(message, reader, writer):
+            await go.wait()
+            reset(writer)
+
+        first, second = await Fake(break_later).start(), await Fake(break_later).start()
+        classes = '[pools.a.classes.sale]\neffect = "{}"\naim_ms = 500\ndeadline_ms = 3000\n'
+
+        def text(effect):
+            routes = pool_text("a", first.port, second.port).partition("[[routes]]")
+            return (
+                routes[0] + classes.format(effect) + routes[1] + routes[2] + 'classes = { POST = "sale" }\n'
+            )
+
+        async with Node(text("unsafe")) as node:
+            held = asyncio.create_task(ask(node.port, post("/a/1")))
+            await until(lambda: first.got or second.got)
+            node.apply(text("safe"))
+            assert node.pool("a").settings.classes[0].effect is Effect.SAFE
+            go.set()
+            assert (await held).code == 502
+            assert len(first.got) + len(second.got) == 1
+
+    run(play())
+
+
+def test_a_pool_removed_and_added_again_under_its_name_inherits_nothing():
+    async def play():
+        go, act = gated()
+        old, new, rest = await Fake(act).start(), await Fake(answer_ok).start(), await Fake(answer_ok).start()
+        async with Node(pool_text("a", old.port) + pool_text("b", rest.port)) as node:
+            held = asyncio.create_task(ask(node.port, post("/a/1")))
+            await until(lambda: old.got)
+            node.apply(pool_text("b", rest.port))
+            assert (await ask(node.port, get("/a"))).code == 404
+            node.apply(pool_text("a", new.port) + pool_text("b", rest.port))
+            assert (await ask(node.port, get("/a"))).code == 200 and len(old.got) == 1
+            go.set()
+            assert (await held).code == 200
+
+    run(play())
+
+
+def test_two_services_may_share_a_server():
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Node(pool_text("a", fake.port) + pool_text("b", fake.port)) as node:
+            same = "X-Request-Id: 1"  # ids are told apart by pool
+            answers = await asyncio.gather(ask(node.port, get("/a", same)), ask(node.port, get("/b", same)))
+            assert [got.code for got in answers] == [200, 200]
+            node.apply(pool_text("b", fake.port))
+            assert (await ask(node.port, get("/b"))).code == 200
+
+    run(play())
+
+
+def test_a_bad_plan_changes_nothing():
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Node(pool_text("a", fake.port)) as node:
+            grammar, pools = node.engine.grammar, dict(node.services.by_name)
+            with pytest.raises(ValueError, match="minima"):
+                node.apply(pool_text("a", fake.port, open_least=9000) + pool_text("b", fake.port))
+            assert node.engine.grammar is grammar and node.services.by_name == pools
+            assert (await ask(node.port, get("/a"))).code == 200
+
+    run(play())
+
+
+def test_a_hundred_reloads_under_load_lose_nothing():
+    async def play():
+        fakes = [await Fake(answer_ok).start() for _ in range(3)]
+        texts = [
+            pool_text("a", fakes[0].port) + pool_text("b", fakes[1].port),
+            pool_text("a", fakes[0].port, fakes[2].port) + pool_text("b", fakes[1].port, attempts_most=2),
+            pool_text("b", fakes[2].port, attempts_most=4) + pool_text("a", fakes[1].port, idle_ms=900),
+        ]
+        async with Node(texts[0]) as node:
+            loads = [Load(node.port, f"/{name}/x") for name in "ab"]
+            for number in range(100):
+                before = [load.answered for load in loads]
+                node.apply(texts[number % 3])
+                await until(lambda: all(load.answered > n for load, n in zip(loads, before, strict=True)))  # noqa: B023
+            for load in loads:
+                await load.end()
+                assert set(load.codes) == {200} and not load.lost
+            ids = [got.headers["x-request-id"] for fake in fakes for got in fake.got]
+            assert len(ids) == len(set(ids)) == sum(load.answered for load in loads)
+            await until(lambda: len(node.engine.pools) == 2)
+
+    run(play())
+
+
+def test_a_thousand_pools_that_came_and_went_leave_nothing(caplog):
+    caplog.set_level(logging.WARNING, "dykefold")  # lines that the test keeps would count
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        base = pool_text("a", fake.port)
+        async with Node(base) as node:
+            assert (await ask(node.port, get("/a"))).code == 200
+            gone = []
+
+            async def rounds(count):
+                for number in range(count):
+                    node.apply(base + pool_text(f"p{number}", fake.port))
+                    if number % 50 == 0:
+                        assert (await ask(node.port, get(f"/p{number}"))).code == 200
+                        gone.append(weakref.ref(node.pool(f"p{number}")))
+                    node.apply(base)
+                await until(lambda: len(node.engine.pools) == 1)
+
+            await rounds(100)
+            gc.collect()
+            blocks, files = sys.getallocatedblocks(), len(os.listdir("/proc/self/fd"))
+            await rounds(1000)
+            await until(lambda: len(os.listdir("/proc/self/fd")) <= files + 2)
+            await until(lambda: gc.collect() is not None and all(ref() is None for ref in gone))
+            assert sys.getallocatedblocks() < blocks + 5_000  # five to a pool would show
+            assert node.engine.budget.claims == 0 and not node.engine.budget.upstreams.held > 1
+            assert len(node.services.shares.claimed) <= 1
+
+    run(play())
+
+
+def test_a_pool_that_takes_all_descriptors_leaves_the_others_their_own():
+    async def play():
+        mute, fake = await Fake(silent).start(), await Fake(answer_ok).start()
+        text = pool_text("a", mute.port, deadline_ms=20_000) + pool_text("b", fake.port, open_least=10)
+        async with Node(text, sockets=160) as node:
+            most = node.engine.budget.upstreams.most
+            writers = []
+            for number in range(most + 20):
+                _, writer = await asyncio.open_connection(HOST, node.port)
+                writer.write(get(f"/a/{number}"))
+                writers.append(writer)
+                if len(node.pool("a").held) >= most - 10:
+                    break
+                await asyncio.sleep(0)
+            await until(lambda: node.services.shares.common > 0)
+            for _ in range(30):
+                assert (await ask(node.port, get("/b"))).code == 200
+            for writer in writers:
+                writer.close()
+
+    run(play())
+
+
+def test_a_whole_answer_comes_to_one_who_has_ended_his_side():
+    async def play():
+        go, act = gated()
+        fake = await Fake(act).start()
+        async with Node(pool_text("a", fake.port)) as node:
+            reader, writer = await asyncio.open_connection(HOST, node.port)
+            writer.write(get("/a/1"))
+            await until(lambda: fake.got)
+            writer.write_eof()
+            await asyncio.sleep(0.02)
+            go.set()
+            assert (await read_message(reader)).code == 200
+            assert await reader.read() == b""
+            writer.close()
+            await until(lambda: not node.engine.clients.all)
+
+    run(play())
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -138,6 +138,13 @@
     assert feed.balancer.limit < 0.4 * before  # more servers show by their answers
 
 
+def test_a_pool_of_one_server_opens_to_several_desks_at_once():
+    """A pool that a reload had replaced refused half of its desks in its first millisecond."""
+    balancer, now = make(servers=1)
+    for ident in range(16):
+        assert any(isinstance(action, Send) for action in balancer.handle(now, request(ident, now)))
+
+
 def test_one_hung_server_does_not_make_the_sidecar_refuse(feed):
     feed.run(5, 100, fast)
     log = feed.run(8, 100, lambda server: None if server == 101 else 40 * MS)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -303,8 +303,9 @@
     path.write_text(json.dumps(config(news(1))))
     code = (
         "import sys, dykefold.__main__ as program; program.read_config(sys.argv[1]);"
-        "print([name for name in sys.modules if name.split('.')[0] in ('msgspec', 'tomllib')"
-        " or name == 'dykefold.operators'])"
+        "print([name for name in sys.modules if name.split('.')[0] in"
+        " ('msgspec', 'tomllib', 'typer', 'click', 'rich', 'structlog')"
+        " or name == 'dykefold.operators' or name.startswith(('dykefold.routing', 'dykefold.cli'))])"
     )
     done = subprocess.run([sys.executable, "-c", code, str(path)], cwd=ROOT, capture_output=True, text=True)
     assert done.stdout.strip() == "[]", done.stderr
