Leave servers alone that turn all away; give idle connections back where places run short

Change: the second refusal in a row ejects the server (a third of the fleet at most) and is no pressure; a new connection that is turned away cuts the age at which idle ones are closed (net/idle.py, Spare), which grows again.

--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -78,6 +78,7 @@
 # Health.
 STRIKES = 2.0  # consecutive failures without a sign of life in between
 HINT_STRIKE = 0.5  # an overdue attempt counts so much: four of them eject
+TURNED_MOST = 2  # attempts in a row that a server turned away: it drains, which the list tells late
 EJECT_FOR = 1.0  # times the shortest deadline, for the first ejection
 EJECT_GROWTH = 2.0
 EJECT_MOST = 8.0  # times the first
@@ -211,6 +212,7 @@
         self.load_at = 0
         self.unit = 0.0  # smoothed latency for each request held, in class means; 0: not known
         self.strikes = 0.0
+        self.turned = 0  # attempts in a row that it turned away
         self.ejected = False
         self.ejections = 0
         self.trial_at = 0
@@ -817,6 +819,7 @@
             self.base[cls] = base + weight * (took - base)
             self._count_answer()
             server.strikes = 0.0
+            server.turned = 0
             server.last_ok = self.now
             if server.ejected:
                 self._readmit(server)
@@ -828,7 +831,11 @@
         elif status is Status.FULL:
             self._sample(server, max(FULL_SAMPLE, server.rel))
             server.last_ok = self.now  # busy, but alive
-            self._add_pressure(PRESSURE_FULL, sent)
+            server.turned += 1
+            if server.turned < TURNED_MOST:
+                self._add_pressure(PRESSURE_FULL, sent)
+            else:  # a full queue lets some in: this one is closing, and that is no load of the fleet's
+                self._strike(server, STRIKES, EJECT_SHARE_ON_SILENCE)
         elif status is Status.CANCELLED:
             if took / base > server.rel:
                 self._sample(server, took / base)
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -21,7 +21,7 @@
 from .backlog import SLICE_BYTES, Backlog, cut
 from .deadlines import Deadlines, Limited
 from .ends import sever
-from .idle import Ages
+from .idle import Ages, Spare
 from .limits import Memory
 from .stream import Upload
 
@@ -475,6 +475,8 @@
         now = self.monotonic()
         if self.stood >= 0.0:
             self.target.ages.note(self.stood, False, now)
+        elif answer.not_run and not self.keep_alive:
+            self.upstreams.spare.refused(now)
         self._let_go()
         if self.blocked:  # by its last piece: who would let it go on is answered, and it serves others now
             self.block(False)
@@ -560,6 +562,7 @@
         self.memory = memory
         self.connect_timeout = connect_timeout
         self.idle_most = idle_most * IDLE_PART
+        self.spare = Spare(self.idle_most)
         self.ages = Ages(self.idle_most)  # of all servers
         self.kinds: dict[int, Ages] = {}  # ... and of those of one kind
         self.targets: dict[int, Target] = {}
@@ -732,8 +735,9 @@
     def sweep(self) -> None:
         """Close what has stood idle well before the server does, or a request would meet its end."""
         now = self.monotonic()
+        spare_s = self.spare.limit(now)
         for target in self.targets.values():
-            before = now - target.ages.limit(now)
+            before = now - min(target.ages.limit(now), spare_s)
             while target.idle and (first := next(iter(target.idle))).idle_since < before:
                 first.close()
 
--- a/tests/test_net_idle.py
+++ b/tests/test_net_idle.py
@@ -1,6 +1,6 @@
 """At what age idle connections turn out dead: learned per server, from all of them, and forgotten."""
 
-from dykefold.net.idle import EDGES_S, Ages
+from dykefold.net.idle import EDGES_S, SPARE_DOUBLE_S, SPARE_LEAST_S, Ages, Spare
 
 MOST = 42.0
 
@@ -71,3 +71,24 @@
     for _ in range(20):
         ages.closed(0.02, 0.0)
     assert ages.limit(0.0) == MOST
+
+
+def test_where_places_run_short_idle_connections_are_given_back_sooner():
+    """Guards servers whose few places stand taken by connections that nobody uses."""
+    spare = Spare(MOST)
+    assert spare.limit(100.0) == MOST
+    spare.refused(100.0)
+    spare.refused(100.1)  # of the same shortage
+    assert spare.limit(100.1) < 0.3 * MOST
+    for second in range(101, 120):
+        spare.refused(float(second))
+    assert SPARE_LEAST_S <= spare.limit(120.0) < 1.2 * SPARE_LEAST_S
+    assert spare.limit(121.0 + SPARE_DOUBLE_S) > 2.0 * SPARE_LEAST_S
+    assert spare.limit(1e9) == MOST
+
+
+def test_a_clock_that_went_back_grows_nothing():
+    spare = Spare(MOST)
+    spare.refused(100.0)
+    before = spare.limit(100.0)
+    assert spare.limit(50.0) == before
--- a/tests/test_net_upstream.py
+++ b/tests/test_net_upstream.py
@@ -476,6 +476,40 @@
     run(play())
 
 
+def test_new_connections_turned_away_give_idle_ones_back():
+    """Guards servers with few places: 40 sidecars held 30 of them idle for each one that was in use."""
+
+    async def play():
+        async def act(message, reader, writer):
+            if message.connection <= 3:
+                held.append(writer)
+                if len(held) == 3:
+                    for one in held:
+                        one.write(reply(200, b"ok"))
+            else:
+                writer.write(reply(503, b"", "X-Not-Run: 1", "Connection: close"))
+
+        held = []
+        fake = await Fake(act).start()
+        pool = make((HOST, fake.port))
+        pool.monotonic = lambda: clock[0]
+        ends = [start(pool)[1] for _ in range(3)]
+        assert [(await end)[0] for end in ends] == [Status.OK] * 3
+        kept = list(pool.targets[1].idle)
+        assert len(kept) == 3
+        pool.update(2, (HOST, fake.port), 0, State.READY)
+        clock[0] += 20.0
+        pool.sweep()
+        assert len(pool.targets[1].idle) == 3  # nobody lacks them
+        assert (await start(pool, server=2)[1])[0] is Status.FULL
+        pool.sweep()
+        assert not pool.targets[1].idle
+        pool.close()
+
+    clock = [1000.0]
+    run(play())
+
+
 def test_a_tick_whose_limits_are_over_is_kept_once():
     """Guards the memory: each request makes and empties the bucket of its tick."""
 
--- /dev/null
+++ b/tests/test_turned_away.py
@@ -0,0 +1,64 @@
+"""Servers that turn everything away, as one does that drains and that the list does not name yet."""
+
+from helpers import MS, SECOND, make, send_one, serve
+
+from dykefold.interface import Outcome, Status
+
+
+def hear(balancer, now, server, status):
+    """An attempt at this server ends so, 5 ms after it was sent."""
+    known = balancer.servers[server]
+    balancer._learn(known, now - 5 * MS, 0, Outcome(9, 0, server, status, 5 * MS, True), False, False)
+
+
+def full(balancer, now, server, times):
+    for _ in range(times):
+        now += 10 * MS
+        hear(balancer, now, server, Status.FULL)
+    return now
+
+
+def test_a_server_that_turns_all_away_is_left_alone_and_is_no_load_of_the_fleet():
+    """Guards a release: each draining server's refusals counted as pressure, and every sidecar of the fleet
+    shed a third of its requests though the other servers were idle."""
+    balancer, now = make(servers=6)
+    now, _ = serve(balancer, now, range(10_000, 10_200), 40 * MS)
+    now = full(balancer, now, 100, 2)
+    assert [server.id for server in balancer.ejected] == [100]
+    balancer._fade_pressure()
+    pressure = balancer.pressure
+    hear(balancer, now, 100, Status.FULL)
+    balancer._fade_pressure()
+    assert balancer.pressure <= pressure
+    for number in range(1, 13):  # nothing goes there for a while
+        assert send_one(balancer, now, number).server != 100
+
+
+def test_one_that_lets_some_in_is_full_and_counts_as_pressure():
+    balancer, now = make(servers=6)
+    now, _ = serve(balancer, now, range(10_000, 10_200), 40 * MS)
+    for _ in range(4):
+        now = full(balancer, now, 100, 1)
+        hear(balancer, now, 100, Status.OK)
+    assert not balancer.ejected
+    assert balancer.press_sum > 4.0
+
+
+def test_where_all_are_full_only_a_third_is_left_out():
+    """Guards the rest of an overloaded fleet: what the others turn away must not all go to the last one."""
+    balancer, now = make(servers=6)
+    now, _ = serve(balancer, now, range(10_000, 10_200), 40 * MS)
+    for _ in range(5):
+        for server in list(balancer.servers.values()):
+            now = full(balancer, now, server.id, 1)
+    assert len(balancer.ejected) == 2
+
+
+def test_it_is_tried_again_and_taken_back_with_its_first_answer():
+    balancer, now = make(servers=6)
+    now, _ = serve(balancer, now, range(10_000, 10_200), 40 * MS)
+    now = full(balancer, now, 100, 2) + 5 * SECOND
+    sent = send_one(balancer, now, 1)
+    assert sent.server == 100
+    balancer.handle(now + 40 * MS, Outcome(1, 0, 100, Status.OK, 40 * MS, True))
+    assert not balancer.ejected
