Sample few servers of other zones where servers outnumber what a sidecar asks

To blame: _regroup, which sampled all of the far servers wherever servers are not fewer than sidecars.

Change: of other zones as many are sampled as about five sidecars know each server, or a quarter of a set where more is asked; beyond the set a request goes when none of it is fit. The check whether a server is in the set is a flag, no longer a scan of the rest for every cold candidate.

--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -88,9 +88,9 @@
 
 # Sidecars that see little: fewer requests in a deadline than there are servers.
 SET_LEAST = 2  # servers of each side (own zone, others) sampled from at the least: a pick of two needs two
-SET_SPAN = (
-    1.0  # ... or as many as are asked in a shortest deadline, so that each is heard from about so often
-)
+SET_SPAN = 1.0  # ... or as many as are asked in a shortest deadline: each is heard from about so often
+FAR_KNOWN = 5  # sidecars, about, from other zones sample a server: its load must not hang on one or two
+FAR_SPAN = 0.25  # ... or this part of a set: each costs a connection, and most requests stay in the own zone
 DEMAND_SPAN = 5.0  # shortest deadlines over which the own requests are counted
 STALE_AFTER = 4.0  # shortest deadlines after which a latency says half as much of the queue others made
 STALE_SHARPNESS = 2.0  # how much better than in proportion to speed: one of two drawn wins by its square
@@ -142,9 +142,7 @@
 LIMIT_LEAST = 0.5  # of a request for each ready server, all sidecars together: enough to notice recovery
 LATELY_FADE = 0.95  # for each correction, of the highest number lately in flight
 LIMIT_LEVEL = 4.0  # times the goal's weight of the worst-served class: at a quarter, all are shed alike
-LIMIT_RARE = (
-    0.2  # of the requests that find none in flight are let in at the least: enough to notice recovery
-)
+LIMIT_RARE = 0.2  # of the requests that find none in flight are let in: enough to notice recovery
 LIMIT_CHEAP = 0.5  # of the limit is open to the work of least worth for its cost, all of it to the dearest
 
 # What a client's later try is still worth.
@@ -193,6 +191,7 @@
         self.lost: set[tuple[int, int]] = set()  # of these, whose answers are not waited for any more
         self.pressed: set[tuple[int, int]] = set()  # ... and those counted as pressure while they wait
         self.listed = True
+        self.sampled = True
         self.restart(entry)
 
     def waited_for(self) -> int:
@@ -588,7 +587,7 @@
             if self.far:
                 cross = self.cross * req.spec.objective_ns
                 pairs += [(server, cross) for server in self._two(self.far, req, tried)]
-            return pairs
+            return pairs or [(server, 0.0) for server in self._two(self.rest, req, tried)]
         # Too few own answers to know a zone or kind as overrun by its servers: two of the set, by weights
         # that follow what each group's answers took. The price of a crossing is in the weights.
         fit = [
@@ -992,9 +991,18 @@
         if self.sees_little:
             near.sort(key=lambda server: server.rank)  # the same ones as long as they are fit
             far.sort(key=lambda server: server.rank)
+            few = size
         else:
+            known = math.ceil(FAR_KNOWN * len(far) / self.settings.fleet_size)
+            few = max(SET_LEAST, int(FAR_SPAN * size), known)
             size = len(ready)
-        self.near, self.far, self.rest = near[:size], far[:size], near[size:] + far[size:]
+            if few < len(far):
+                far.sort(key=lambda server: server.rank)
+        self.near, self.far, self.rest = near[:size], far[:few], near[size:] + far[few:]
+        for server in ready:
+            server.sampled = True
+        for server in self.rest:
+            server.sampled = False
         self.stands_for = [len(near) / max(len(self.near), 1), len(far) / max(len(self.far), 1)]
 
     def _set_size(self) -> int:
@@ -1039,7 +1047,7 @@
         # No answers of late mean no right to send: a rate remembered from better times would not do.
         fade = max(0.0, 1.0 - (self.now - self.rate_at) / self.settings.overload_for_ns)
         # Those who do not sample it leave their part to those who do.
-        among = self.ready_count - len(self.rest) if server not in self.rest else self.ready_count
+        among = self.ready_count - len(self.rest) if server.sampled else self.ready_count
         fair = self.rate * fade / max(among, 1)
         pace = PACE * ramp * fair
         limit = max(1.0, pace * PACE_BURST) + min(server.samples * PACE_TRUST, PACE_TRUST_MOST)
