--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -99,5 +99,5 @@
         sent = send_one(balancer, now, ident)
         count += sent.server == 7
         balancer.handle(now + 40 * MS, Outcome(ident, 0, sent.server, Status.OK, 40 * MS, True))
-    fair = 2 * 400 / 60  # a warm server's share in that time; at its start it can do a fifth of the most
-    assert 1 <= count <= 3.0 * 0.2 * fair * 2.0
+    fair = 2 * 400 / 60  # a warm server's share in that time; this one begins at a fifth of what that can do
+    assert 1 <= count <= 3.0 * 0.2 * fair
--- a/tests/test_turned_away.py
+++ b/tests/test_turned_away.py
@@ -38,10 +38,10 @@
     balancer, now = make(servers=6)
     now, _ = serve(balancer, now, range(10_000, 10_200), 40 * MS)
     for _ in range(4):
+        before = balancer.press_sum
         now = full(balancer, now, 100, 1)
+        assert not balancer.ejected and balancer.press_sum > before + 1.0
         hear(balancer, now, 100, Status.OK)
-    assert not balancer.ejected
-    assert balancer.press_sum > 4.0
 
 
 def test_where_all_are_full_only_a_third_is_left_out():
