--- a/dykefold/sim/apps.py
+++ b/dykefold/sim/apps.py
@@ -10,6 +10,7 @@
 from .kernel import MS, stream
 from .loop import SimLoop
 from .messages import Messages
+from .net import network_of
 from .rules import ANSWER_SLACK_NS
 from .schedule import Arrival
 
@@ -105,7 +106,7 @@
         self.run = run
         self.number = number
         self.name = f"app{number}"
-        self.address = f"10.0.{number}.2"
+        self.address = f"{network_of(number)}.2"
         run.network.add_host(self.name, self.address)
         self.loop = SimLoop(run.kernel, self.name, run.network)
         self.random = stream(run.kernel.seed, "app", number)
--- a/dykefold/sim/net.py
+++ b/dykefold/sim/net.py
@@ -29,6 +29,11 @@
 DATAGRAM_MOST = 1500
 
 
+def network_of(sidecar: int) -> str:
+    """The first three parts of the addresses of a sidecar and of its clients."""
+    return f"10.{2 * (sidecar // 250)}.{sidecar % 250}"
+
+
 class Tap(Protocol):
     """Who sees what passes: the truth that the rules are judged by."""
 
--- a/dykefold/sim/nodes.py
+++ b/dykefold/sim/nodes.py
@@ -45,6 +45,7 @@
     def connection_made(self, transport) -> None:  # type: ignore[no-untyped-def]
         self.transport = transport
         self.node.connections[self] = None
+        self.node.handshakes += 1
 
     def data_received(self, data: bytes) -> None:
         self.used_ns = self.node.run.kernel.now_ns
@@ -70,6 +71,7 @@
         self.since_ms = 0
         self.cold: Cold | None = None
         self.alive = False
+        self.handshakes = 0  # connections that were ever made to it
         run.network.add_host(name, address)
 
     def start(self, cold: bool) -> None:
--- a/dykefold/sim/process.py
+++ b/dykefold/sim/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import signal
 from typing import TYPE_CHECKING, Any
 
@@ -16,7 +15,7 @@
 from ..system import System, Watch
 from .kernel import EPOCH_NS, MS, SECOND, stream
 from .loop import SimLoop
-from .net import SimSocket
+from .net import SimSocket, network_of
 
 if TYPE_CHECKING:
     from .world import Running
@@ -64,7 +63,7 @@
         self.run = run
         self.number = number
         self.name = f"sidecar{number}"
-        self.address = f"10.0.{number}.1"
+        self.address = f"{network_of(number)}.1"
         self.life = 0
         self.alive = False
         self.ending = False
@@ -98,7 +97,7 @@
         engine.stopped.add_done_callback(self._stopped)
 
     def _serve_one(self, engine: Engine) -> None:
-        settings = dataclasses.replace(self.run.settings, index=self.number)
+        settings = self.run.settings_at(self.number)
         names = Names(settings.zones, ["std"])
         known = read_news(self.run.known(self.name), names)
         for entry in known.entries:
--- a/dykefold/sim/registry.py
+++ b/dykefold/sim/registry.py
@@ -51,7 +51,8 @@
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.watchers: dict[RegistryConnection, int] = {}
         self.connections: dict[RegistryConnection, None] = {}
-        self.down = self.stale = 0
+        self.down = self.stale = self.overbooked = 0
+        self.calls = 0  # that were answered or turned away
         self.random = stream(run.kernel.seed, "registry", number)
         self.address = (f"10.9.0.{number + 1}", PORT)
         name = f"registry{number}"
@@ -96,11 +97,33 @@
             for connection in list(self.connections):
                 connection.transport.abort()
 
+    def cleared(self) -> None:
+        self.overbooked -= 1
+
+    def _spoil(self, connection: RegistryConnection) -> bool:
+        """Turn a call away, break its answer off, or send what can't be read; False: answer it."""
+        lot = self.random.random()
+        if lot > 0.8:
+            return False
+        if lot < 0.4:
+            data = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+        elif lot < 0.6:
+            data = b'HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n{"index":9,"snapshot":true,"endpoints":['
+        else:
+            data = b'HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n{"index":9,"snapshot":true,"en}'
+        connection.transport.write(data)
+        if lot >= 0.4:
+            connection.transport.close()
+        return True
+
     def asked(self, connection: RegistryConnection, target: str) -> None:
+        self.calls += 1
         if self.down:
             if self.random.random() < 0.5:
                 connection.transport.abort()
             return
+        if self.overbooked and self._spoil(connection):
+            return
         query = parse_qs(urlsplit(target).query)
         if "after" not in query:
             self._answer(connection, None)
--- a/dykefold/sim/rules.py
+++ b/dykefold/sim/rules.py
@@ -88,6 +88,7 @@
         self.told: dict[tuple[str, str], int] = {}  # (sidecar, server) -> since when it is to be left alone
         self.knows: dict[tuple[str, str], int] = {}  # ... -> the start of the server as it was last told
         self.cold: dict[str, Cold] = {}
+        self.cold_most = 0.0  # the largest part of a cold server's budget that was spent, by those who knew
         self.came: dict[str, deque[tuple[int, bool]]] = {}  # server -> when, and whether its start was known
         self.counts = {"requests": 0, "attempts": 0, "repeats": 0, "effects": 0, "served": 0, "refused": 0}
         self.counts |= {"failed": 0, "drained": 0, "cold": 0}
@@ -227,7 +228,10 @@
         span_s = self.overload_ns / 1e9
         budget = self.overload_factor * cold.capacity(at_ns) * span_s + COLD_SLACK
         knowing = sum(known for _, known in came)
-        if len(came) > budget and knowing * 3 >= len(came) * 2:
+        if knowing * 3 < len(came) * 2:
+            return
+        self.cold_most = max(self.cold_most, len(came) / budget)
+        if len(came) > budget:
             what = f"{server} was sent {len(came)} requests in {span_s:.1f} s, {budget:.1f} at most"
             self.breach(at_ns, "cold servers", what)
             came.clear()
--- a/dykefold/sim/schedule.py
+++ b/dykefold/sim/schedule.py
@@ -37,6 +37,11 @@
     TERM = "term"  # a planned end
     SQUEEZE = "squeeze"  # a sidecar may hold fewer descriptors than it was told
     FLOOD = "flood"  # silent connections of one client
+    # Of a whole fleet.
+    HERD = "herd"  # seven in ten sidecars are killed at once
+    ZONE = "zone"  # all servers of a zone die and come back cold together
+    REPLACE = "replace"  # six in ten servers drain, go, and are replaced by others, one after another
+    OVERBOOK = "overbook"  # discovery turns calls away, breaks answers off, sends what can't be read
 
 
 OF_SERVERS = frozenset(
@@ -54,6 +59,7 @@
         Kind.CUT,
     )
 )
+OF_FLEETS = frozenset((Kind.HERD, Kind.ZONE, Kind.REPLACE, Kind.OVERBOOK))
 OF_SIDECARS = frozenset((Kind.PAUSE, Kind.KILL, Kind.TERM, Kind.SQUEEZE, Kind.FLOOD, Kind.CUT))
 SPANS_MS = {
     Kind.CRASH: (300, 4000),
@@ -61,6 +67,8 @@
     Kind.KILL: (200, 2000),
     Kind.TERM: (200, 2000),
     Kind.MOVE: (0, 0),
+    Kind.HERD: (300, 1500),
+    Kind.REPLACE: (3000, 7000),
 }
 SPAN_MS = (300, 6000)  # of the others
 LOAD_BEGINS_NS = 200 * MS
@@ -125,6 +133,8 @@
         deadlines_ms: by class.
         shares: of the classes in the requests.
         large_every: one in so many requests has a body or an answer that is passed on as it comes; 0: none.
+        zones: their names, a letter each; servers stand in them in turn.
+        spread: sidecars stand in them in turn too, not all in the first.
         ahead: of the requests are sent ahead of an answer, on a connection that waits for one.
     """
 
@@ -137,9 +147,11 @@
     shares: tuple[float, ...]
     ahead: float = 0.08
     large_every: int = 0
+    zones: str = "ab"
+    spread: bool = False
 
 
-PLATFORM = tuple(Kind)
+PLATFORM = tuple(kind for kind in Kind if kind not in OF_FLEETS)
 WORLDS = {
     "parts": World(5, 2, 40.0, 0.8, PLATFORM, (1000, 800, 1200), (0.5, 0.28, 0.22)),
     "restarts": World(
@@ -153,6 +165,10 @@
     ),
     "storm": World(3, 1, 90.0, 2.5, PLATFORM, (400, 300, 500), (0.4, 0.3, 0.3)),
     "services": World(6, 1, 60.0, 0.8, PLATFORM, (1000, 800, 1200), (0.4, 0.3, 0.3), 0.08, 8),
+    "fleet": World(
+        60, 40, 6.0, 1.0, (*sorted(OF_FLEETS), Kind.STALE, Kind.SILENT, Kind.TERM),
+        (1000, 800, 1200), (0.5, 0.28, 0.22), zones="abcde", spread=True,
+    ),
 }  # fmt: skip
 
 
--- a/dykefold/sim/world.py
+++ b/dykefold/sim/world.py
@@ -38,7 +38,7 @@
             RequestClass("hold", hold // 3, hold, 3.0, 0.25, Effect.KEYED, scope, 700 * MS),
             RequestClass("order", order // 3, order, 10.0, 0.25, Effect.UNSAFE),
         ],
-        zones=["a", "b"],
+        zones=list(WORLDS[scenario.world].zones),
         fleet_size=scenario.sidecars,
         must_ask=True,
         drain_grace_ns=GRACE_NS,
@@ -108,12 +108,22 @@
         node = self.places.get(address)
         return (node.name, node.group) if node is not None else None
 
+    def zone_of(self, node: Node) -> str:
+        zones = WORLDS[self.scenario.world].zones
+        return zones[int(node.address.rpartition(".")[2]) % len(zones)]
+
+    def settings_at(self, number: int) -> Settings:
+        """What one of the sidecars is told."""
+        world = WORLDS[self.scenario.world]
+        zone = number % len(world.zones) if world.spread else 0
+        return dataclasses.replace(self.settings, zone=zone, index=number)
+
     def entry(self, node: Node, status: str) -> dict[str, Any]:
         """What discovery tells of a node."""
         return {
             "name": node.name,
             "address": f"{node.address}:{PORT}",
-            "zone": "ab"[int(node.address[-1]) % 2],
+            "zone": self.zone_of(node),
             "type": "std",
             "group": node.group,
             "status": status,
@@ -347,6 +357,34 @@
         if side.life == life and not side.alive:
             side.start()
 
+    def _fault_herd(self, fault: Fault) -> None:
+        for number, side in enumerate(self.sidecars):
+            if (number + fault.sidecar) % 10 < 7 and side.alive:
+                side.kill()
+                self._later(fault, self._start_again, side, side.life)
+
+    def _fault_zone(self, fault: Fault) -> None:
+        zone = self.zone_of(self.nodes[fault.server])
+        for number, node in enumerate(self.nodes):
+            if self.zone_of(node) == zone and node.alive:
+                node.kill()
+                self.registry.later(self.entry(node, "DELETED"))
+                self._later(fault, self._revive, number, node)
+
+    def _fault_replace(self, fault: Fault) -> None:
+        chosen = [n for n in range(len(self.nodes)) if (n + fault.server) % 10 < 6 and self.nodes[n].alive]
+        for place, number in enumerate(chosen):
+            self.kernel.after(fault.span_ns * place // len(chosen), self._drain, number, self.nodes[number])
+
+    def _drain(self, number: int, node: Node) -> None:
+        self.registry.later(self.entry(node, "DRAINING"))
+        self.kernel.after(2 * GRACE_NS, self._replace, number, node)
+
+    def _fault_overbook(self, fault: Fault) -> None:
+        registry = self.registry
+        registry.overbooked += 1
+        self._later(fault, registry.cleared)
+
     def _fault_squeeze(self, fault: Fault) -> None:
         name = self.sidecars[fault.sidecar].name
         self.network.descriptors[name] = max(len(self.network.open[name]) - 4, 24)
