Pass bodies and answers over 64 KiB on the platform, limited by their pace

Bodies over 64 KiB got 413; with streams switched on, 101 long answers were cut off at the deadline while their servers still gave them (rule on lost requests), and 74 slow requests met the 2 s for a message. Excluded: memory (24 of 80 MB) and descriptors (331 of 1,024).

At fault: Attempt's timer and Held's guard (net/pool.py) are durations; MESSAGE_MOST_S (admission/rules.py) counts a body into the 2 s of a head; STALL_MOST (net/upstream.py) broke off answers that are written slowly.

Change: while something flows its timer asks for progress; a request's time counts from the last byte of its body; a head has 2.6 s, a body as long as it keeps coming; an upload that never came whole is refused, since it has not run. Answers up to the close pass where the server says that it closes. Plain bodies are parsed at once rather than in slices of 2 KiB.

--- a/dykefold/admission/clients.py
+++ b/dykefold/admission/clients.py
@@ -26,11 +26,15 @@
     """A client's connection as the edge needs it."""
 
     client: Client
-    begun: bool  # a message has begun and not ended
     paused: bool  # it is not being read
     deaf: bool  # nothing more is read of it
     messages: int  # whole ones so far
 
+    @property
+    def owes(self) -> bool:
+        """Whether a message has begun and not ended."""
+        ...
+
     @property
     def busy(self) -> bool:
         """Whether a request of it is open or waits, or an answer is on its way out."""
@@ -79,20 +83,24 @@
         now = self.monotonic()
         client = guest.client
         if guest.busy:
-            if client.state is State.KEPT and not guest.begun:
+            if client.state is State.KEPT and not guest.owes:
                 self.admission.ask_again(client, guest.messages, now)
                 return
             state = State.BUSY
         elif guest.deaf:
             state = State.LEAVING
-        elif guest.begun:
+        elif guest.owes:
             state = State.READING
         else:
             state = State.ONCE if guest.messages else State.SILENT
-        self.admission.place(client, state, guest.begun, guest.messages, now)
+        self.admission.place(client, state, guest.owes, guest.messages, now)
         if state is State.ONCE and self.admission.asked > self.admission.working:
             self._let_go(self.admission.surplus(now))
 
+    def progress(self, client: Client, size: int) -> None:
+        """Count bytes of a body that has not come to its end."""
+        self.admission.progress(client, size, self.monotonic())
+
     def open_request(self, client: Client) -> bool:
         """Count a request as open; False if its address has too many."""
         reason = self.admission.open_request(client, self.monotonic())
--- a/dykefold/admission/listener.py
+++ b/dykefold/admission/listener.py
@@ -25,6 +25,7 @@
 PAUSE_S = 0.05  # without accepting when the system has no descriptor; a released one ends it sooner
 NOTES_APART_S = 10.0
 RETRY_AFTER_S = 1
+SEND_BYTES = 128 * 1024  # of the kernel's buffer to a client: a slow one is seen to read every few of them
 UNREAD_MOST = 4096  # bytes that a refused client may have sent already: unread they would reset the refusal
 
 
@@ -64,6 +65,8 @@
         self.closed = False
         self._take_spare()
         sock.setblocking(False)
+        # Accepted sockets have the listener's.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
         loop.add_reader(sock.fileno(), self._ready)
 
     @property
--- a/dykefold/admission/rules.py
+++ b/dykefold/admission/rules.py
@@ -27,7 +27,10 @@
 from .addresses import Address, Addresses, Caps, Key
 from .queues import Queue
 
-MESSAGE_MOST_S = 2.0  # from connecting, or from a message's first byte, until its last has come
+HEAD_MOST_S = 2.6  # from connecting, or from a message's first byte, until its head has come: 2 s are honest
+BODY_GAP_S = 1.5  # without a byte of a body that is longer on its way than that
+BODY_LEAST_BYTES_S = 24 * 1024  # ... and what it must bring on the average: 64 kB a second are honest
+BODY_FIRST_S = 1.0  # that it has before that counts
 IDLE_MOST_S = 2.0  # that a connection is kept with no request open
 SLOW_AFTER_S = 0.5  # a usual message comes in one piece; one that takes so long may leave when all is full
 YOUNG_S = 0.02  # in which a new connection's first request may well be on its way
@@ -72,7 +75,18 @@
 class Client:
     """One connection as the rules see it."""
 
-    __slots__ = ("address", "host", "idle_since_s", "known", "owner", "requests", "state")
+    __slots__ = (
+        "address",
+        "body_at_s",
+        "body_bytes",
+        "heard_at_s",
+        "host",
+        "idle_since_s",
+        "known",
+        "owner",
+        "requests",
+        "state",
+    )
 
     def __init__(self, address: Address, host: str) -> None:
         self.address = address
@@ -82,6 +96,9 @@
         self.state: State | None = None  # once it has left
         self.requests = 0
         self.idle_since_s = 0.0
+        self.body_at_s = 0.0  # when bytes of an unfinished body first came; 0: none have
+        self.body_bytes = 0  # of it since then, and when the latest came
+        self.heard_at_s = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +130,7 @@
         self.addresses = Addresses(caps)
         self.sides = {False: Side(), True: Side()}
         self.unfinished: OrderedDict[Client, float] = OrderedDict()  # a message is owed since
+        self.bodies: dict[Client, None] = {}  # those whose messages may take longer: a body keeps coming
         self.asked = 0  # connections with one request at least: what clients hold for requests
         self.busy = 0
         self.peak = self.earlier_peak = 0  # of `busy`, in this span and in the one before
@@ -175,7 +193,7 @@
             return
         self._exit(client)
         client.state = None
-        self.unfinished.pop(client, None)
+        self._finished(client)
         if client.requests:
             self.asked -= 1
         self.sides[client.known].count -= 1
@@ -194,10 +212,12 @@
             elif client.state in IDLE:
                 self._learn_gap(now_s - client.idle_since_s)
             client.requests = requests
+            self._finished(client)
         if begun:
-            self.unfinished.setdefault(client, now_s)
+            if client not in self.bodies:
+                self.unfinished.setdefault(client, now_s)
         elif requests or state is State.LEAVING:
-            self.unfinished.pop(client, None)
+            self._finished(client)
         if state is State.ONCE and client.requests > 1:
             state = State.KEPT
         if state is client.state and state not in IDLE:
@@ -205,6 +225,25 @@
         self._exit(client)
         self._enter(client, state, now_s)
 
+    def _finished(self, client: Client) -> None:
+        """Nothing is owed of the message that was on its way."""
+        self.unfinished.pop(client, None)
+        self.bodies.pop(client, None)
+        client.body_at_s = 0.0
+
+    def progress(self, client: Client, size: int, now_s: float) -> None:
+        """Count bytes of a body that has not come to its end."""
+        if not client.body_at_s:
+            client.body_at_s, client.body_bytes = now_s, 0
+        client.body_bytes += size
+        client.heard_at_s = now_s
+
+    def _keeps_up(self, client: Client, now_s: float) -> bool:
+        if not client.body_at_s or now_s - client.heard_at_s > BODY_GAP_S:
+            return False
+        due_s = now_s - client.body_at_s - BODY_FIRST_S
+        return client.body_bytes >= BODY_LEAST_BYTES_S * due_s
+
     def ask_again(self, client: Client, requests: int, now_s: float) -> None:
         """What `place` does for the usual case: a kept idle connection whose next request has come whole."""
         if requests > client.requests:
@@ -320,16 +359,25 @@
     # Time
 
     def late(self, now_s: float) -> list[Client]:
-        """Connections whose message has not come to its end in time; each is told once."""
-        before = now_s - MESSAGE_MOST_S
-        found = [c for c, _ in takewhile(lambda entry: entry[1] <= before, self.unfinished.items())]
-        for client in found:
+        """Connections whose message has not come in time; each is told once.
+
+        A head has a time in all. A body has one for as long as it keeps coming: however large and slow, it
+        is honest at the rate that it is owed, and one that has stopped is told within a few seconds.
+        """
+        before = now_s - HEAD_MOST_S
+        due = [c for c, _ in takewhile(lambda entry: entry[1] <= before, self.unfinished.items())]
+        for client in due:
             del self.unfinished[client]
+            self.bodies[client] = None
+        found = [client for client in self.bodies if not self._keeps_up(client, now_s)]
+        for client in found:
+            del self.bodies[client]
         return found
 
     def wait_again(self, client: Client, now_s: float) -> None:
         """Give a late connection its time anew: it was not being read."""
         if client.state is not None:
+            self._finished(client)
             self.unfinished[client] = now_s
 
     def unused(self, now_s: float) -> list[Client]:
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import re
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,6 +20,7 @@
 from ..admission.rules import Client
 from ..interface import Effect, Settings
 from .backlog import SLICE_BYTES, Backlog, cut
+from .ends import NO_LINGER
 from .lag import Lag
 from .limits import Memory
 from .stream import BUFFER_BYTES, FRAMING_MOST, Upload
@@ -26,9 +29,10 @@
 BODY_MOST = 64 * 1024
 HEADERS_MOST = 32 * 1024
 HEADER_LINES_MOST = 256  # each costs some hundred bytes beside its own; the usual limit is 100
+STREAM_MOST = 40 * 1024 * 1024  # bytes of a body or an answer that goes on as it comes
 MESSAGE_MOST = 8 * BODY_MOST  # with the framing of many small chunks
 WAITING_MOST = 16  # requests that a client may send ahead of their answers before it is read no further
-SLOW_READER = 5.0  # seconds that a client may leave an answer unread
+SLOW_READER = 5.0  # seconds in which a client may read nothing of an answer
 LINGER = 2.0  # seconds in which a rejected client may still send, unheard, and read why
 DEADLINE = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 DEADLINE_UNITS = {b"m": 1_000_000, b"u": 1_000}
@@ -81,6 +85,7 @@
     tenant: int
     key: int
     deadline_ns: int  # on the clock
+    wait_ns: int  # that the client will wait, from the last byte of its request
     cost_ns: int
     is_retry: bool
     keep_alive: bool
@@ -119,7 +124,7 @@
 class Grammar:
     """What the settings say of requests: which classes and tenants there are."""
 
-    streams = False  # bodies are at most `BODY_MOST`
+    streams = True
 
     def __init__(self, settings: Settings, pool: object) -> None:
         self.pool = pool  # of which the requests are
@@ -177,10 +182,14 @@
             tenant,
             key,
             message.now + wait,
+            wait,
             cost,
             headers.get(b"x-retry") == b"1",
             message.keep_alive,
             pool=self.pool,
+            body_most=STREAM_MOST,
+            answer_most=STREAM_MOST,
+            old=message.old,
         )
 
 
@@ -323,6 +332,11 @@
         self.message_size = 0  # of what is held of it
         self.in_body = False
 
+    @property
+    def owes(self) -> bool:
+        """Whether a message has begun and not ended."""
+        return self.begun or self.upload is not None
+
     @property
     def idle(self) -> bool:
         """Whether it can be closed without harm: no request waits, no answer is still on its way out."""
@@ -396,12 +410,14 @@
         # Guards the memory: the parser itself holds a header line of any length.
         if self.size > self.size_most:
             self._reject(431, "headers are too long")
+        if self.in_body:
+            self.engine.clients.progress(self.client, len(data))
         self._pump()
         self.engine.clients.place(self)
 
     def expire(self) -> None:
         """Its message has not come to an end in time; what it was taken for before is answered first."""
-        if self.begun:
+        if self.owes:
             self._reject(408, "the request took too long to come")
             self._pump()
             self.engine.clients.place(self)
@@ -409,7 +425,7 @@
             self.close()
 
     def eof_received(self) -> bool:
-        between = not self.begun and self.upload is None and self.unfed is None
+        between = not self.owes and self.unfed is None
         if self.engine.half_close and self.busy and between:
             self.over = True
             return True
@@ -437,7 +453,19 @@
         self.unread = True
         if self.source is not None:
             self.source.block(True)
-        self.slow = self.slow or self.engine.loop.call_later(SLOW_READER, self.close)
+        if self.slow is None:
+            self._await_reader()
+
+    def _await_reader(self) -> None:
+        assert self.transport is not None
+        left = self.transport.get_write_buffer_size()
+        self.slow = self.engine.loop.call_later(SLOW_READER, self._look_for_reader, left)
+
+    def _look_for_reader(self, before: int) -> None:
+        if self.transport is None or self.transport.get_write_buffer_size() == before:
+            self.close()
+        else:
+            self._await_reader()
 
     def resume_writing(self) -> None:
         self.unread = False
@@ -711,16 +739,21 @@
             paced: waits while the client does not read.
 
         Returns:
-            False if this client can't take it so: one that speaks HTTP/1.0 knows no chunks.
+            False if this client waits for it no more.
         """
-        if self.current is not call or (length is None and call.old):
+        if self.current is not call:
             return False
         if call.upload is not None:
             self._stop_upload(call.upload, call)
         self.source = paced
         self.stays = call.keep_alive and self._stays()
-        self.ends_with = b"0\r\n\r\n" if length is None else None
-        framing = b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
+        self.ends_with = None
+        if length is not None:
+            framing = b"Content-Length: %d\r\n" % length
+        elif call.old:  # it knows no chunks: the end of the connection ends its answer
+            framing, self.stays = b"", False
+        else:
+            framing, self.ends_with = b"Transfer-Encoding: chunked\r\n", b"0\r\n\r\n"
         self._write(_head(code, headers + call.told + framing, self.stays))
         return True
 
@@ -736,7 +769,7 @@
         self.current = self.source = None
         self._release(call.size)
         if not whole:
-            self.close()
+            self.close(reset=True)
             return
         if self.ends_with is not None:
             self._write(self.ends_with)
@@ -776,10 +809,15 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
-    def close(self) -> None:
+    def close(self, reset: bool = False) -> None:
+        """Close at once; with a reset, what the client has got so far shows as not whole in any framing."""
         self.leaving = True
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        if reset and (sock := self.transport.get_extra_info("socket")) is not None:
+            with contextlib.suppress(OSError):  # it has gone already
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.transport.abort()
 
 
 def _head(code: int, lines: bytes, keep_alive: bool) -> bytes:
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -28,11 +28,13 @@
 from .limits import Memory
 from .peers import Address, Peers
 from .reports import Reports
+from .stream import Upload
 from .upstream import Answer, Exchange, Manner, Upstreams
 
 log = logging.getLogger("dykefold")
 
 ATTEMPT_MARGIN_NS = 15 * MS  # before the client's deadline the last attempt is given up
+STALL_S = 3.0  # seconds in which a body or an answer that flows must move, where its server has the turn
 GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
 PROBE_TIMEOUT = 0.4  # seconds
 BODIED = frozenset((b"POST", b"PUT", b"PATCH"))  # methods whose requests say that their body is empty
@@ -95,7 +97,7 @@
 class Attempt(Exchange):
     """One try of a request at one server."""
 
-    __slots__ = ("answered_ns", "held", "number", "sent_ns", "server")
+    __slots__ = ("answered_ns", "held", "moved", "number", "sent_ns", "server")
 
     def __init__(self, held: Held, number: int, server: int, sent_ns: int) -> None:
         super().__init__(b"", held.ended, BODY_MOST)
@@ -107,6 +109,36 @@
         self.server = server
         self.sent_ns = sent_ns
         self.answered_ns = 0  # when an answer began that is passed on as it comes
+        self.moved = -1  # bytes of what flows, when they were last looked at
+
+    def expire(self) -> None:
+        """Its time is up; while something flows that is no time in all, but one in which nothing moved.
+
+        Guards long messages, which outlast any deadline by right, and those who wait for the rest of one
+        that has stopped.
+        """
+        if not self._flowing() or not self._moves():
+            self.give_up(Status.TIMEOUT)
+        elif self.deadlines is not None:
+            self.deadlines.start(self, STALL_S, self.held.pool.monotonic())
+
+    def _flowing(self) -> bool:
+        return self.answered_ns > 0 or (self.upload is not None and not self.upload.ended)
+
+    def _moves(self) -> bool:
+        """Whether something has moved since the last look, or its client is the one to wait for."""
+        if self.connection is None:
+            return False  # nothing has gone out: as long as that a connection is not waited for
+        before, self.moved = self.moved, self.connection.moved()
+        if self.answered_ns:
+            return self.connection.blocked or self.moved != before
+        return not self.connection.unwritten or self.moved != before
+
+    def limit(self, after_s: float) -> None:
+        """Give it another time limit, from now on."""
+        if self.deadlines is not None and not self.ended:
+            self.deadlines.stop(self)
+            self.deadlines.start(self, after_s, self.held.pool.monotonic())
 
     def upload_begins(self) -> None:
         self._flows()
@@ -124,6 +156,7 @@
         held.answering = held.asker.begin_answer(held.call, code, _lines(headers), length, self)
         if held.answering:
             self.answered_ns = held.pool.now()
+            held.pool.deadlines.stop(held)  # whose answer has begun in time
             self._flows()
         return held.answering
 
@@ -170,6 +203,10 @@
     def expire(self) -> None:
         self.pool.guard(self)
 
+    def body_whole(self) -> None:
+        """The last byte of its body has come: its time counts from now on (PROTOCOL, figures)."""
+        self.pool.start_time(self)
+
     def ended(self, attempt: Exchange, status: Status, answer: Answer | None) -> None:
         self.pool.end_attempt(self, attempt, status, answer)  # type: ignore[arg-type]
 
@@ -320,9 +357,10 @@
         call.ticket = held.id
         self.next_id += 1
         self.held[held.id] = held
-        now_s = self.monotonic()
-        left = max(call.deadline_ns - GUARD_MARGIN_NS - self.clock.at(now_s), 0)
-        self.deadlines.start(held, left / SECOND, now_s)
+        if call.upload is not None and not call.upload.ended:
+            call.upload.on_whole = held.body_whole
+        else:
+            self._limit(held)
         self.post(
             api.Request(
                 held.id,
@@ -336,6 +374,24 @@
             )
         )
 
+    def _limit(self, held: Held) -> None:
+        now_s = self.monotonic()
+        left = max(held.call.deadline_ns - GUARD_MARGIN_NS - self.clock.at(now_s), 0)
+        self.deadlines.start(held, left / SECOND, now_s)
+
+    def start_time(self, held: Held) -> None:
+        """The body of a request has come to its end: from here on it has the time that its client stated."""
+        if not held.owed or held.answering:
+            return
+        call = held.call
+        assert call.upload is not None
+        call.deadline_ns = call.upload.whole_ns + call.wait_ns
+        self._limit(held)
+        for number in range(held.attempts):
+            attempt = self.attempts.get((held.id, number))
+            if attempt is not None:
+                attempt.limit(max(call.wait_ns - ATTEMPT_MARGIN_NS, MS) / SECOND)
+
     def guard(self, held: Held) -> None:
         """Time is up: whatever the module still plans, the client gets its answer now."""
         if not held.owed:
@@ -418,14 +474,17 @@
         held.attempts += 1
         self.attempts[held.id, attempt.number] = attempt
         held.out += 1
-        last = held.call.deadline_ns - ATTEMPT_MARGIN_NS - now
+        upload = held.call.upload
+        # A body that is still on its way has a deadline only when it is whole.
+        flows = upload is not None and not upload.ended
+        last = int(STALL_S * SECOND) if flows else held.call.deadline_ns - ATTEMPT_MARGIN_NS - now
         # What the module takes for late says nothing of a body that is still on its way.
-        bound = action.timeout_ns > 0 and held.call.upload is None
+        bound = action.timeout_ns > 0 and upload is None
         wait = min(action.timeout_ns, last) if bound else last
         if held.attempts > self.settings.max_attempts or wait <= 0 or not self._claim_attempt(held):
             attempt.end(Status.MOOT)
             return
-        attempt.payload = self._payload(held.call, wait)
+        attempt.payload = self._payload(held.call, held.call.wait_ns if flows else wait)
         self.upstreams.start(action.server, attempt, wait / SECOND)
 
     def _claim_attempt(self, held: Held) -> bool:
@@ -461,8 +520,8 @@
         held.out -= 1
         self._unclaim(held)
         upload = held.call.upload
-        if upload is not None and upload.begun and status is Status.CONNECT_FAILED:
-            status = Status.RESET  # a server may act on a part of a body
+        if upload is not None and upload.begun:
+            status = self._of_part(held, upload, status)
         if status not in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT):
             held.may_have_run = True
         report: tuple[float, ...] = ()
@@ -482,6 +541,19 @@
         if self.gone is not None:
             self.loop.call_soon(self._leave_if_done)
 
+    @staticmethod
+    def _of_part(held: Held, upload: Upload, status: Status) -> Status:
+        """What the end of an attempt proves of which a part of the body had gone out.
+
+        The platform's servers begin with a request when its last byte has come (PROTOCOL, sidecars to
+        servers); others may act on a part.
+        """
+        if held.call.manner is not Manner.PLATFORM:
+            return Status.RESET if status is Status.CONNECT_FAILED else status
+        if not upload.sent and status in (Status.RESET, Status.TIMEOUT, Status.CANCELLED):
+            return Status.CONNECT_FAILED
+        return status
+
     def _end_stream(self, held: Held, status: Status) -> None:
         """The one attempt of a request whose body or answer flows is over, and so is the request."""
         upload = held.call.upload
@@ -491,7 +563,7 @@
             held.asker.end_answer(held.call, whole)
         elif upload is not None and upload.problem is not None:
             self._finish(held, upload.problem[0], b"", upload.problem[1])
-        elif status is Status.FULL:
+        elif status in (Status.FULL, Status.CONNECT_FAILED):
             self._finish(held, 503, b"", b"refused\n")
         elif held.error is not None:
             self._pass_on(held, held.error)
--- a/dykefold/net/stream.py
+++ b/dykefold/net/stream.py
@@ -29,7 +29,9 @@
         length: bytes that were announced; None where the body comes in chunks.
         begun: bytes of it have gone to a server, so it can't be sent again.
         sent: its last byte has gone to the server's connection.
+        passed: bytes that went to a server's connection so far.
         whole_ns: when its last byte had come, on the clock; 0 before.
+        on_whole: called then, once.
         problem: code and text with which the request is to be answered, if the body can't be read on.
     """
 
@@ -38,6 +40,8 @@
         "held",
         "length",
         "on_drain",
+        "on_whole",
+        "passed",
         "problem",
         "sent",
         "sink",
@@ -57,7 +61,9 @@
         self.held: list[bytes] = [prefix] if prefix else []
         self.size = len(prefix)
         self.on_drain = on_drain
+        self.on_whole: Callable[[], None] | None = None
         self.begun = self.sent = False
+        self.passed = 0
         self.whole_ns = 0
         self.problem: tuple[int, bytes] | None = None
         self.sink: Sink | None = None
@@ -83,6 +89,8 @@
         """The body is whole."""
         self.whole_ns = now_ns
         self.flow()
+        if self.on_whole is not None:
+            self.on_whole()
 
     def spoil(self, code: int, text: str) -> None:
         """The body can't be read on: its attempt ends, and its request is answered with this."""
@@ -113,6 +121,7 @@
         if self.held:
             data = b"".join(self.held)
             self.held, self.size = [], 0
+            self.passed += len(data)
             sink.write_on(data if self.length is not None else b"%x\r\n%s\r\n" % (len(data), data))
         if self.ended and not self.held:
             self.sent = True
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -26,7 +26,8 @@
 from .stream import Upload
 
 HEADERS_MOST = 32 * 1024
-STALL_MOST = 0.5  # seconds from an answer's first byte to its last: servers write it when it is ready
+STALL_MOST = 0.5  # seconds without a byte of an answer that has begun: servers write it when it is ready
+RECEIVE_BYTES = 128 * 1024  # of the kernel's buffer: one read brings no more, and a slow client holds one
 DEAD_WITHIN = 0.05  # seconds after a request was written: what resets it so soon never read it
 IDLE_PART = 0.7  # of the time after which a server may close an idle connection
 HOP_BY_HOP = frozenset(
@@ -160,6 +161,7 @@
         "body",
         "came",
         "closed",
+        "closes",
         "encoding",
         "exchange",
         "generation",
@@ -224,6 +226,7 @@
         self.in_body = False
         self.length = b""
         self.encoding = b""
+        self.closes = False
         self.not_run = False
         self.keep_alive = False
         self.load = b""
@@ -251,8 +254,21 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
+    def moved(self) -> int:
+        """Bytes of this exchange that have come, or that the kernel has taken of its body."""
+        exchange = self.exchange
+        if exchange is None or exchange.upload is None or self.transport is None:
+            return self.size
+        return self.size + exchange.upload.passed - self.transport.get_write_buffer_size()
+
+    def _plain(self, size: int) -> bool:
+        """Whether the next bytes are all of one body: these cost no more for being many."""
+        if not self.in_body or self.encoding or not self.length:
+            return False
+        return int(self.length) - max(self.held, self.streamed) >= size
+
     def data_received(self, data: bytes) -> None:
-        if len(data) <= SLICE_BYTES:
+        if len(data) <= SLICE_BYTES or self._plain(len(data)):
             began_s = self.monotonic()
             self._feed(data, False)
             if self.upstreams.lag is not None:
@@ -272,7 +288,10 @@
         if self.closed or self.unfed is None or self.blocked:
             self.queued = False
             return False
-        data, self.unfed = cut(self.unfed)
+        if self._plain(len(self.unfed)):
+            data, self.unfed = bytes(self.unfed), None
+        else:
+            data, self.unfed = cut(self.unfed)
         more = self.unfed is not None
         self._feed(data, more)
         if not more and not self.closed and not self.blocked and self.transport is not None:
@@ -314,8 +333,17 @@
         elif self.streamed >= 0:
             return  # its end is awaited until the request's own
         elif self.stalled is None:
-            # Guards against an answer that says more than comes: it would be waited for to the deadline.
-            self.stalled = self.upstreams.loop.call_later(STALL_MOST, self._break)
+            self._await_more(self.size)
+
+    def _await_more(self, before: int) -> None:
+        """Guards against an answer that says more than comes: it would be waited for to the deadline."""
+        self.stalled = self.upstreams.loop.call_later(STALL_MOST, self._look_for_more, before)
+
+    def _look_for_more(self, before: int) -> None:
+        if self.size == before:
+            self._break()
+        else:
+            self._await_more(self.size)
 
     def _size_most(self) -> int:
         """Bytes that an answer which is held may take, framing included."""
@@ -323,8 +351,12 @@
         return HEADERS_MOST + (self.exchange.answer_most if self.in_body else 0)
 
     def eof_received(self) -> None:
-        # An answer that only the end of the connection delimits cannot be told from one cut short, so
-        # it is not passed on.
+        open_ended = self.in_body and not (self.encoding or self.length or self.spoilt or self.unfed)
+        if open_ended and self.exchange is not None and self.whole is None:
+            code = self.parser.get_status_code()
+            self.whole = Answer(code, self.headers, bytes(self.body), self.not_run, self.load)
+            self._finish()
+            return
         if self.exchange is None and not self.closed and self.idle_since:
             now = self.monotonic()
             self.target.ages.closed(now - self.idle_since, now)
@@ -351,6 +383,8 @@
             self.load = value
         elif low == b"content-length":
             self.length = value
+        elif low == b"connection":
+            self.closes = b"close" in value.lower()
         elif low == b"transfer-encoding":
             self.encoding = value
         elif low not in HOP_BY_HOP:
@@ -374,7 +408,9 @@
         if self.encoding:
             self.spoilt = self.encoding.lower() != b"chunked"
         elif not self.length:
-            self.spoilt = True
+            # Up to the end of the connection (RFC 9112, 6.3), if its server means to end it: where it does
+            # not say so it has left the length out, and when it dies that would look like the end.
+            self.spoilt = not (self.closes or self.parser.get_http_version() == "1.0")
         elif int(self.length) > self.exchange.answer_most:
             self.spoilt = not self._stream(int(self.length))
 
@@ -633,6 +669,7 @@
             self.loop.call_soon(exchange.end, Status.MOOT)
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
         connection = Connection(self, target, sock)
         self.connections[connection] = None
         self.allowance.held += 1
--- a/dykefold/routing/requests.py
+++ b/dykefold/routing/requests.py
@@ -82,6 +82,7 @@
         wait = self.mapping.deadline_ns or spec.deadline_ns
         if (value := headers.get(b"x-deadline")) is not None:
             wait = parse_deadline(value)
+        wait = min(wait, spec.deadline_ns)
         return Call(
             ident=self.space + ident,
             method=method,
@@ -91,7 +92,8 @@
             cls=number,
             tenant=self._tenant_of(headers),
             key=0,
-            deadline_ns=message.now + min(wait, spec.deadline_ns),
+            deadline_ns=message.now + wait,
+            wait_ns=wait,
             cost_ns=0,
             is_retry=headers.get(b"x-retry") == b"1",
             keep_alive=message.keep_alive,
--- /dev/null
+++ b/tests/test_net_long_messages.py
@@ -0,0 +1,190 @@
+"""Long and slow messages of the platform's dialect: limits are rates, nothing that flows is sent twice."""
+
+import asyncio
+import hashlib
+
+from net_helpers import HOST, Sidecar, config, entry, message, news, read_message, reply, reset, run, until
+from stream_helpers import BIG, KB, Server, digest
+
+from dykefold.net import pool as pool_module
+
+
+def listed(*servers):
+    return config(news(1, *(entry(f"s{n}", f"{HOST}:{s.port}") for n, s in enumerate(servers))))
+
+
+def upload(length, ident="ab", deadline="300m"):
+    head = message("order", ident, deadline).replace(b"Content-Length: 0", b"Content-Length: %d" % length)
+    return head
+
+
+async def trickle(headers, reader, writer):
+    """An answer whose time is far longer than the client's deadline, at an even pace."""
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BIG))
+    for at in range(0, len(BIG), 32 * KB):
+        writer.write(BIG[at : at + 32 * KB])
+        await writer.drain()
+        await asyncio.sleep(0.02)
+
+
+async def up_to_the_close(headers, reader, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + BIG)
+    writer.close()
+
+
+async def up_to_a_reset(headers, reader, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + BIG[: 300 * KB])
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
+async def stops(headers, reader, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BIG) + BIG[: 300 * KB])
+    await reader.read()
+
+
+async def read_all(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    body = b""
+    if b"chunked" not in head:
+        return head, await reader.read()
+    while size := int(await reader.readline(), 16):
+        body += await reader.readexactly(size)
+        await reader.readline()
+    return head, body
+
+
+async def get(sidecar, ident="ab", deadline="300m", version=b"1.1"):
+    reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+    data = message("lookup", ident, deadline, b"", "Connection: close").replace(
+        b"HTTP/1.1", b"HTTP/" + version
+    )
+    writer.write(data)
+    return reader, writer
+
+
+def test_an_answer_that_flows_outlasts_the_deadline(tmp_path):
+    """Guards the rule on lost requests: it was cut off while its server still gave it."""
+
+    async def play():
+        server = await Server(trickle).start()
+        async with Sidecar(tmp_path / "c", listed(server)) as sidecar:
+            reader, writer = await get(sidecar)
+            head, body = await read_all(reader)
+            assert head.startswith(b"HTTP/1.1 200") and body == BIG
+            writer.close()
+            assert len(server.heads) == 1
+
+    run(play())
+
+
+def test_an_answer_that_stops_is_given_up_so_that_its_client_can_tell(tmp_path, monkeypatch):
+    monkeypatch.setattr(pool_module, "STALL_S", 0.2)
+
+    async def play():
+        server = await Server(stops).start()
+        async with Sidecar(tmp_path / "c", listed(server)) as sidecar:
+            reader, writer = await get(sidecar)
+            await reader.readuntil(b"\r\n\r\n")
+            try:
+                got = await reader.read()
+            except ConnectionError:
+                got = b""
+            assert len(got) < len(BIG)
+            writer.close()
+            await until(lambda: not sidecar.engine.pool.attempts)
+
+    run(play())
+
+
+def test_an_answer_up_to_the_close_passes_whole_and_up_to_a_reset_does_not(tmp_path):
+    async def play():
+        for act, version, whole in (
+            (up_to_the_close, b"1.1", True),
+            (up_to_the_close, b"1.0", True),
+            (up_to_a_reset, b"1.1", False),
+        ):
+            server = await Server(act).start()
+            async with Sidecar(tmp_path / "c", listed(server)) as sidecar:
+                reader, writer = await get(sidecar, version=version)
+                try:
+                    _, body = await read_all(reader)
+                except (OSError, EOFError, ValueError):
+                    body = None
+                assert (body == BIG) is whole, (act, version)
+                writer.close()
+
+    run(play())
+
+
+def test_the_time_of_a_request_counts_from_its_last_byte(tmp_path):
+    """Guards slow bodies: with 300 ms from its head on, one that takes a second would never be answered."""
+
+    async def play():
+        server = await Server(digest).start()
+        async with Sidecar(tmp_path / "c", listed(server)) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(upload(len(BIG)))
+            for at in range(0, len(BIG), 128 * KB):
+                writer.write(BIG[at : at + 128 * KB])
+                await asyncio.sleep(0.1)
+            got = await read_message(reader)
+            assert got.code == 200 and got.body == hashlib.sha256(BIG).hexdigest().encode()
+            writer.close()
+            assert len(server.heads) == 1
+
+    run(play())
+
+
+async def silent_after_the_body(headers, reader, writer):
+    await reader.readexactly(int(headers["content-length"]))
+    await reader.read()
+
+
+def test_a_body_that_is_whole_has_the_stated_time_and_no_more(tmp_path):
+    async def play():
+        server = await Server(silent_after_the_body).start()
+        async with Sidecar(tmp_path / "c", listed(server)) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(upload(len(BIG)) + BIG)
+            assert (await read_message(reader)).code in (502, 504)
+            writer.close()
+            assert len(server.heads) == 1
+
+    run(play())
+
+
+async def dies_in_the_body(headers, reader, writer):
+    await reader.readexactly(200 * KB)
+    reset(writer)
+
+
+def test_an_order_whose_body_never_came_whole_is_refused_for_it_has_not_run(tmp_path):
+    async def play():
+        server = await Server(dies_in_the_body).start()
+        async with Sidecar(tmp_path / "c", listed(server)) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(upload(len(BIG)) + BIG[: 300 * KB])
+            assert (await read_message(reader)).code == 503
+            writer.close()
+            assert len(server.heads) == 1  # a part of it has flowed: it can't be sent again
+
+    run(play())
+
+
+async def says_too_much(headers, reader, writer):
+    writer.write(reply(200, b"x" * 10).replace(b"Content-Length: 10", b"Content-Length: 50000000"))
+    await reader.read()
+
+
+def test_an_answer_beyond_what_passes_is_a_failed_attempt(tmp_path):
+    async def play():
+        server = await Server(says_too_much).start()
+        async with Sidecar(tmp_path / "c", listed(server)) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(message("order", "ab", "2000m", b"x"))
+            assert (await read_message(reader)).code == 502
+            writer.close()
+
+    run(play())
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -51,6 +51,12 @@
     writer.close()
 
 
+async def end_announced(message, reader, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nserved ")
+    await writer.drain()
+    writer.close()
+
+
 def first_then_ok(act):
     """The first message meets a trouble, all later ones are served."""
     seen = []
@@ -125,6 +131,8 @@
             {"lookup": {200}, "hold": {200}, "order": {502}},
             {"lookup": {2}, "hold": {2}, "order": {1}},
         ),
+        # Its end is that of the connection only where the server says that it will close.
+        (end_announced, {200}, {1}),
         (
             end_without_length,
             {"lookup": {200}, "hold": {200}, "order": {502}},
@@ -146,6 +154,7 @@
         "204",
         "reset",
         "cut",
+        "up-to-the-close",
         "no-length",
         "garbage",
     ],
