Open a door for operators: health, and servers taken out and put back

Change: dykefold/control: the calls as a table and the servers that are out as a decision file, both without I/O; a door with descriptors of its own, where the oldest connection with no whole call gives way. What is out counts as draining, laid over every list before the module hears of it; what is back is cold from that moment.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -19,6 +19,9 @@
 
 from .admission.addresses import Caps
 from .admission.listener import Listener
+from .control.door import DESCRIPTORS as DOOR_DESCRIPTORS
+from .control.door import Door
+from .control.operator import Operator
 from .interface import Settings
 from .net.discovery import ListError, Names, News, read_news, split_address
 from .net.engine import Engine
@@ -50,6 +53,7 @@
 class Config:
     name: str
     listen: Address
+    control: Address | None
     discovery: Address
     seed: int
     sockets: int
@@ -82,9 +86,11 @@
         transport = nested_transport(data["settings"])
         names = Names(settings.zones, transport.kinds)
         limits = data.get("limits", {})
+        control = data.get("control") or os.environ.get("GW_CONTROL")
         return Config(
             name=str(data["name"]),
             listen=split_address(data["listen"], least_port=0),
+            control=split_address(control, least_port=0) if control else None,
             discovery=split_address(data["discovery"]),
             seed=int(data["seed"], 16),
             sockets=min(int(limits.get("sockets", SOCKETS)), SOCKETS, _system_limit()),
@@ -126,7 +132,8 @@
 
 
 def start_engine(loop: asyncio.AbstractEventLoop, config: Config) -> Engine:
-    engine = Engine(loop, config.sockets, config.memory, config.caps)
+    set_aside = DOOR_DESCRIPTORS if config.control is not None else 0
+    engine = Engine(loop, config.sockets, config.memory, config.caps, set_aside=set_aside)
     engine.serve_one(
         config.settings, config.transport, config.seed, config.discovery, config.names, config.known
     )
@@ -151,7 +158,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, engine.drain)
     loop.add_signal_handler(signal.SIGHUP, reload, engine, path, service)
+    door = None
     try:
+        if config.control is not None:
+            door = Door(
+                loop, socket.create_server(config.control, backlog=DOOR_DESCRIPTORS), Operator(engine)
+            )
+            log.info("the door is at %s:%d", *door.address)
         if config.peer_listen is not None:
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.pool.on_peer)
             await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
@@ -160,6 +173,8 @@
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
     await _until_stopped(engine, config.name, listener)
+    if door is not None:
+        door.close()
 
 
 async def _until_stopped(engine: Engine, name: str, listener: Listener) -> None:
--- a/dykefold/admission/budget.py
+++ b/dykefold/admission/budget.py
@@ -37,14 +37,21 @@
 class Budget:
     """All descriptors of the process by purpose; what clients hold is counted by the admission rules."""
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, set_aside: int = 0) -> None:
+        """Begin with nothing held.
+
+        Args:
+            limit: descriptors of the whole process.
+            set_aside: of these, for what else the process does.
+        """
+        self.set_aside = set_aside
         self.upstreams = Allowance(0)
         self.claims = 0  # requests that are open, and attempts and probes that are out beyond these
         self.resize(limit)
 
     def resize(self, limit: int) -> None:
         """Take another limit on the descriptors of the whole process."""
-        rest = max(limit - RESERVED, LEAST)
+        rest = max(limit - RESERVED - self.set_aside, LEAST)
         # Clients need a third for requests. What they may hold beyond that must leave enough to attempts,
         # or silent clients keep every request from its server.
         self.clients = rest // CLIENTS_PART
--- /dev/null
+++ b/dykefold/control/calls.py
@@ -0,0 +1,69 @@
+"""What operators may call, and what they are answered. No I/O.
+
+Every call is a method and a path. What is not in the table gets a 4xx and changes nothing; so does an id that
+no server has. A yes is said when the call has taken effect, not before.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from urllib.parse import unquote_to_bytes
+
+TARGET_MOST = 1024  # bytes of a path; ids are names of servers
+ID_MOST = 256  # characters of an id
+
+
+class Action(Enum):
+    """What a call asks for."""
+
+    HEALTH = "healthcheck"
+    OUT = "maint"  # nothing more to a server
+    BACK = "ready"  # it may be used again
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A call that was understood.
+
+    Attributes:
+        server: the id that it names; empty where it names none.
+    """
+
+    action: Action
+    server: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer: a status code of HTTP, and a line for people."""
+
+    code: int
+    text: str
+    allow: str = ""  # the method that the path takes, where another one came
+
+
+YES = Reply(200, "ok")
+
+
+def read_call(method: str, target: str) -> Call | Reply:
+    """The call that a request is, or the answer to one that is none."""
+    if len(target) > TARGET_MOST:
+        return Reply(414, f"the path is longer than {TARGET_MOST} bytes")
+    path = target.partition("?")[0]
+    if not path.startswith("/"):
+        return Reply(400, "the target is no path")
+    parts = path[1:].split("/")
+    if parts == [Action.HEALTH.value]:
+        return Call(Action.HEALTH) if method == "GET" else Reply(405, "a health call is a GET", "GET")
+    if len(parts) != 3 or parts[0] != "servers" or parts[2] not in (Action.OUT.value, Action.BACK.value):
+        return Reply(404, "no such call")
+    if method != "POST":
+        return Reply(405, "a server is taken out or put back with POST", "POST")
+    try:
+        server = unquote_to_bytes(parts[1]).decode()
+    except UnicodeDecodeError:
+        return Reply(400, "the id is no UTF-8")
+    if not server or len(server) > ID_MOST or not server.isprintable():
+        return Reply(400, f"the id must be 1 to {ID_MOST} printable characters")
+    return Call(Action(parts[2]), server)
--- /dev/null
+++ b/dykefold/control/operator.py
@@ -0,0 +1,50 @@
+"""Carries operators' calls out on a node."""
+
+from __future__ import annotations
+
+import logging
+from typing import Protocol
+
+from ..net.engine import Engine
+from .calls import YES, Action, Call, Reply
+from .maintenance import OUT_MOST
+
+log = logging.getLogger("dykefold.control")
+
+
+class Keeper(Protocol):
+    """Where calls on servers are kept for a newer process."""
+
+    def keep(self) -> bool:
+        """Write down which servers are out; False if that failed, and the call must not be said to hold."""
+        ...
+
+
+class Operator:
+    """The calls of the door, on all pools of a node alike."""
+
+    def __init__(self, engine: Engine, keeper: Keeper | None = None) -> None:
+        self.engine = engine
+        self.keeper = keeper
+
+    def carry_out(self, call: Call) -> Reply:
+        """Do what a call asks for; the answer says whether it was done."""
+        if call.action is Action.HEALTH:
+            if self.engine.takes_clients:
+                return YES
+            return Reply(503, "this process takes no clients")
+        return self._set(call.server, call.action is Action.OUT)
+
+    def _set(self, server: str, out: bool) -> Reply:
+        pools = [pool for pool in self.engine.pools if pool.maintenance.knows(server)]
+        if not pools:
+            return Reply(404, "no such server")
+        if out and any(pool.maintenance.full(server) for pool in pools):
+            return Reply(507, f"{OUT_MOST} servers are out, and no more can be")
+        changed = [pool for pool in pools if pool.maintain(server, out)]
+        if changed:
+            log.info("%s is %s", server, "out for maintenance" if out else "back from maintenance")
+        # Asked of what was done before as well: the call may come again because this failed.
+        if self.keeper is not None and not self.keeper.keep():
+            return Reply(500, "done here, but a newer process would not know: call again")
+        return YES
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -66,12 +66,14 @@
         memory: int,
         caps: Caps | None = None,
         system: System = SYSTEM,
+        set_aside: int = 0,
     ) -> None:
         """Make a node with no pool.
 
         Args:
             sockets: descriptors that the process may hold.
             memory: bytes that it may take.
+            set_aside: descriptors that are neither clients' nor servers', such as the door's.
         """
         self.loop = loop
         self.system = system
@@ -81,7 +83,7 @@
         self.grammar: Reader
         self.pools: dict[Pool, None] = {}  # those that are served and those that retire
         self.half_close = False
-        self.budget = Budget(sockets)
+        self.budget = Budget(sockets, set_aside)
         self.memory = Memory(memory)
         self.clients = Clients(Admission(self._share(), caps or Caps()), system)
         self.lag = Lag(loop, system)
@@ -175,6 +177,11 @@
         if (call is None or not call.pool.drop(call)) and self.draining:
             self._end_if_done()
 
+    @property
+    def takes_clients(self) -> bool:
+        """Whether new clients are let in."""
+        return self.listener is not None and not self.draining
+
     # Limits
 
     def _share(self) -> Share:
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -10,11 +10,13 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any, Protocol
 
 from .. import interface as api
 from ..admission.budget import Allowance, Budget
 from ..admission.rules import Client
+from ..control.maintenance import Maintenance
 from ..interface import Settings, State, Status
 from ..logic import Balancer
 from ..settings import Transport
@@ -275,7 +277,11 @@
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.carry_out = self._actions()
-        self._apply(known, api.ListKind.CACHED)
+        self.maintenance: Maintenance[Listed] = Maintenance(
+            lambda entry, endpoint: replace(entry, endpoint=endpoint)
+        )
+        self.version = known.version
+        self._take_list(known, api.ListKind.CACHED)
         if not settings.must_ask:
             self._watch(True)
 
@@ -623,7 +629,22 @@
         if news is None:
             self.post(api.Membership(api.ListKind.FAILED, 0, []))
         else:
-            self._apply(news)
+            self._take_list(news)
+
+    def _take_list(self, news: News, kind: api.ListKind | None = None) -> None:
+        """Take what discovery says, with what operators say of maintenance on top."""
+        self.version = news.version
+        complete = news.complete or kind is api.ListKind.CACHED
+        told = self.maintenance.fold(news.entries, complete)
+        self._apply(News(news.version, news.complete, told), kind)
+
+    def maintain(self, name: str, out: bool) -> bool:
+        """Take a known server out, or put it back; whether that changed anything."""
+        before = self.maintenance.is_out(name)
+        told = self.maintenance.say(name, out, self.now())
+        if told:
+            self._apply(News(self.version, False, told))
+        return before is not out
 
     def _apply(self, news: News, kind: api.ListKind | None = None) -> None:
         began_s = self.monotonic()
--- /dev/null
+++ b/tests/control/test_door.py
@@ -0,0 +1,208 @@
+"""The door over loopback sockets: calls, bad calls, callers that hold on, and what a ban does."""
+
+import asyncio
+import socket
+
+import pytest
+from net_helpers import (
+    HOST,
+    WAIT,
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    gated,
+    message,
+    news,
+    run,
+    until,
+)
+
+from dykefold.control import door as door_module
+from dykefold.control.door import CONNECTIONS, DESCRIPTORS, Door
+from dykefold.control.operator import Operator
+from dykefold.net.discovery import read_news
+
+
+class Operated(Sidecar):
+    """A sidecar with its door."""
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        sock = socket.create_server((HOST, 0), backlog=DESCRIPTORS)
+        self.door = Door(self.engine.loop, sock, Operator(self.engine))
+        self.door_port = self.door.address[1]
+        return self
+
+    async def __aexit__(self, *about):
+        self.door.close()
+        await super().__aexit__(*about)
+
+    async def call(self, line, *lines, body=b""):
+        reader, writer = await asyncio.open_connection(HOST, self.door_port)
+        head = "\r\n".join([f"{line} HTTP/1.1", "Host: door", *lines])
+        writer.write(head.encode() + b"\r\n\r\n" + body)
+        async with asyncio.timeout(WAIT):
+            got = await reader.read()  # one call to a connection: it ends behind the answer
+        writer.close()
+        return int(got.split()[1])
+
+    async def out(self, name):
+        return await self.call(f"POST /servers/{name}/maint", "Content-Length: 0")
+
+    async def back(self, name):
+        return await self.call(f"POST /servers/{name}/ready")
+
+
+async def two(*acts):
+    return [await Fake(act).start() for act in acts]
+
+
+def listed(*fakes, version=1):
+    return news(version, *(entry(f"s{n}", fake.address) for n, fake in enumerate(fakes)))
+
+
+def test_health_follows_whether_clients_are_taken(tmp_path):
+    async def play():
+        fakes = await two(answer_ok)
+        async with Operated(tmp_path / "c", config(listed(*fakes))) as sidecar:
+            assert await sidecar.call("GET /healthcheck") == 200
+            sidecar.engine.drain()
+            assert await sidecar.call("GET /healthcheck") == 503
+
+    run(play())
+
+
+def test_a_server_that_is_out_gets_nothing_more_and_one_that_is_back_starts_cold(tmp_path):
+    async def play():
+        fakes = await two(answer_ok, answer_ok)
+        async with Operated(tmp_path / "c", config(listed(*fakes))) as sidecar:
+            pool = sidecar.engine.pool
+            assert (await ask(sidecar.port, message("lookup", "a"))).code == 200
+            used, other = fakes if fakes[0].got else reversed(fakes)
+            name, rest = ("s0", "s1") if used is fakes[0] else ("s1", "s0")
+            assert await sidecar.out(name) == 200 and await sidecar.out(name) == 200
+            pool.on_news(None)
+            pool.on_news(read_news(listed(*fakes, version=2), pool.names))  # it serves, says the list
+            for number in range(20):
+                assert (await ask(sidecar.port, message("lookup", f"b{number}"))).code == 200
+            assert len(used.got) == 1 and len(other.got) == 20
+            assert await sidecar.back(name) == 200
+            server = pool.balancer.servers[pool.names.servers[name]]
+            assert server.ready and abs(server.started - pool.now()) < 5e9
+            assert await sidecar.out(rest) == 200
+            assert (await ask(sidecar.port, message("lookup", "c"))).code == 200
+            assert len(used.got) == 2 and len(other.got) == 20
+
+    run(play())
+
+
+def test_what_waits_for_a_server_as_it_goes_out_never_reaches_it(tmp_path):
+    """Guards the rule on drains: a queued first try would send its first byte after the yes."""
+
+    async def play():
+        go, act = gated()
+        fakes = await two(act)
+        async with Operated(tmp_path / "c", config(listed(*fakes))) as sidecar:
+            upstreams = sidecar.engine.pool.upstreams
+            first = asyncio.create_task(ask(sidecar.port, message("lookup", "a1")))
+            await until(lambda: fakes[0].got)
+            (target,) = upstreams.targets.values()
+            late = asyncio.create_task(ask(sidecar.port, message("lookup", "a2", "700m")))
+            await until(lambda: len(fakes[0].got) == 2)
+            assert await sidecar.out("s0") == 200
+            third = asyncio.create_task(ask(sidecar.port, message("order", "a3", "400m")))
+            assert (await third).code == 503
+            assert len(fakes[0].got) == 2
+            go.set()
+            assert (await first).code == 200 and (await late).code == 200  # what is out ends by itself
+            assert not target.opening
+
+    run(play())
+
+
+def test_only_known_servers_can_be_called_and_those_of_the_first_list_are(tmp_path):
+    async def play():
+        fakes = await two(answer_ok)
+        async with Operated(tmp_path / "c", config(listed(*fakes))) as sidecar:
+            assert await sidecar.out("nobody") == 404 and await sidecar.back("nobody") == 404
+            assert await sidecar.back("s0") == 200  # known, and not out: nothing to do
+            assert await sidecar.out("s0") == 200
+
+    run(play())
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (b"\x16\x03\x01garbage\r\n\r\n", 400),
+        (b"GET /healthcheck HTTP/9.9\r\n\r\n", 400),
+        (b"POST /servers/s0/maint HTTP/1.1\r\nContent-Length: -5\r\n\r\n", 400),
+        (b"POST /servers/s0/maint HTTP/1.1\r\nContent-Length: 900000\r\n\r\n" + b"x" * 20_000, 413),
+        (b"POST /servers/s0/maint HTTP/1.1\r\nX: " + b"x" * 20_000, 431),
+        (b"POST /servers/" + b"s" * 9_000, 431),
+        (b"POST /servers/" + b"s" * 2_000 + b"/maint HTTP/1.1\r\n\r\n", 414),
+        (b"DELETE /servers/s0 HTTP/1.1\r\n\r\n", 404),
+        (b"GET /servers/s0/maint HTTP/1.1\r\n\r\n", 405),
+    ],
+)
+def test_bad_calls_get_a_no_and_change_nothing(tmp_path, data, code):
+    async def play():
+        fakes = await two(answer_ok)
+        async with Operated(tmp_path / "c", config(listed(*fakes))) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.door_port)
+            writer.write(data)
+            assert int((await reader.readuntil(b"\r\n")).split()[1]) == code
+            writer.close()
+            assert not sidecar.engine.pool.maintenance.said
+            assert await sidecar.call("GET /healthcheck") == 200
+
+    run(play())
+
+
+def test_callers_that_hold_on_stop_nobody(tmp_path):
+    """Guards the one second that an answer is owed in: with a queue of them nobody would come through."""
+
+    async def play():
+        fakes = await two(answer_ok)
+        async with Operated(tmp_path / "c", config(listed(*fakes))) as sidecar:
+            held = []
+            for number in range(3 * CONNECTIONS):
+                _, writer = await asyncio.open_connection(HOST, sidecar.door_port)
+                writer.write(b"GET /health" if number % 2 else b"")
+                held.append(writer)
+                if number % 8 == 0:
+                    assert await sidecar.call("GET /healthcheck") == 200
+            assert len(sidecar.door.callers) <= CONNECTIONS
+            assert await sidecar.out("s0") == 200
+            for writer in held:
+                writer.close()
+            await until(lambda: not sidecar.door.callers)
+
+    run(play())
+
+
+def test_a_caller_that_says_nothing_is_answered_in_the_end(tmp_path, monkeypatch):
+    monkeypatch.setattr(door_module, "CALL_MOST_S", 0.1)
+
+    async def play():
+        fakes = await two(answer_ok)
+        async with Operated(tmp_path / "c", config(listed(*fakes))) as sidecar:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.door_port)
+            assert (await reader.readline()).split()[1] == b"408"
+            writer.close()
+
+    run(play())
+
+
+def test_a_fault_behind_the_door_is_a_no_and_not_silence(tmp_path):
+    async def play():
+        fakes = await two(answer_ok)
+        async with Operated(tmp_path / "c", config(listed(*fakes))) as sidecar:
+            sidecar.engine.pool.maintain = None
+            assert await sidecar.out("s0") == 500
+            assert await sidecar.call("GET /healthcheck") == 200
+
+    run(play())
