Upgrades: two processes on one address, with bans, limits and clients handed over

Change: dykefold/control: hand-over as a state table without I/O, signs in $TMPDIR, steering of new connections by a classic filter on the group, bans written before the yes and merged by both processes, limits shared in parts. The older process accepts what waits before it closes its listener and tells clients to go with their next answer.

Estimates are not handed on yet.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -19,9 +19,11 @@
 
 from .admission.addresses import Caps
 from .admission.listener import Listener
+from .control.board import Files
 from .control.door import DESCRIPTORS as DOOR_DESCRIPTORS
 from .control.door import Door
 from .control.operator import Operator
+from .control.upgrade import Upgrade
 from .interface import Settings
 from .net.discovery import ListError, Names, News, read_news, split_address
 from .net.engine import Engine
@@ -155,28 +157,67 @@
 async def run(config: Config, path: str | None, service: str | None) -> None:
     loop = asyncio.get_running_loop()
     engine = start_engine(loop, config)
+    # Where the platform gives no door there are no upgrades either, and nobody to share an address with.
+    operated = config.control is not None
+    upgrade = _upgrade(loop, engine) if operated else None
+
+    def end() -> None:
+        if upgrade is not None:
+            upgrade.end()
+        engine.drain()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, engine.drain)
+        loop.add_signal_handler(number, end)
     loop.add_signal_handler(signal.SIGHUP, reload, engine, path, service)
     door = None
     try:
         if config.control is not None:
             door = Door(
-                loop, socket.create_server(config.control, backlog=DOOR_DESCRIPTORS), Operator(engine)
+                loop,
+                socket.create_server(config.control, backlog=DOOR_DESCRIPTORS),
+                Operator(engine, upgrade),
             )
             log.info("the door is at %s:%d", *door.address)
+        if upgrade is not None:
+            await upgrade.make_room()
         if config.peer_listen is not None:
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.pool.on_peer)
-            await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
+            await loop.create_datagram_endpoint(
+                lambda: peers, sock=_datagram_socket(config.peer_listen, operated)
+            )
             engine.peers = peers
-        listener = engine.listen(socket.create_server(config.listen, backlog=BACKLOG))
+        sock = socket.create_server(config.listen, backlog=BACKLOG, reuse_port=operated)
+        listener = engine.listen(sock)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
+    if upgrade is not None:
+        upgrade.takes(sock)
     await _until_stopped(engine, config.name, listener)
+    if upgrade is not None:
+        upgrade.close()
     if door is not None:
         door.close()
 
 
+def _upgrade(loop: asyncio.AbstractEventLoop, engine: Engine) -> Upgrade | None:
+    """The hand-over's side of this process, where it has a folder for it."""
+    folder = os.environ.get("TMPDIR")
+    try:
+        return Upgrade(loop, engine, Files(folder)) if folder else None
+    except OSError as error:
+        log.warning("%s: no upgrades: %s", folder, error.strerror)
+        return None
+
+
+def _datagram_socket(address: Address, shared: bool) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    if shared:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.setblocking(False)
+    sock.bind(address)
+    return sock
+
+
 async def _until_stopped(engine: Engine, name: str, listener: Listener) -> None:
     # What was made until now lives as long as the process: collections need not look at it again, nor
     # come as often as for a program that makes cycles.
--- a/dykefold/admission/listener.py
+++ b/dykefold/admission/listener.py
@@ -24,6 +24,7 @@
 STARVED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 PAUSE_S = 0.05  # without accepting when the system has no descriptor; a released one ends it sooner
 NOTES_APART_S = 10.0
+REST_MOST = 64  # turns in which a listener that is to close accepts what waits: twice what the kernel holds
 RETRY_AFTER_S = 1
 SEND_BYTES = 128 * 1024  # of the kernel's buffer to a client: a slow one is seen to read every few of them
 UNREAD_MOST = 4096  # bytes that a refused client may have sent already: unread they would reset the refusal
@@ -73,17 +74,18 @@
     def address(self) -> tuple[str, int]:
         return self.sock.getsockname()[:2]
 
-    def _ready(self) -> None:
+    def _ready(self) -> bool:
+        """Accept a number of connections; whether more may wait."""
         for _ in range(ACCEPTING):
             try:
                 sock, peer = self.sock.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return False
             except ConnectionAbortedError:  # it was reset while it waited
                 continue
             except OSError as error:
                 self._failed(error)
-                return
+                return False
             client, reason = self.clients.admit(peer[0])
             if client is None:
                 _refuse(sock, Reason.FULL if reason is None else reason)
@@ -94,6 +96,7 @@
             task = self.loop.create_task(self._start(sock, guest))
             self.starting.add(task)
             task.add_done_callback(self.starting.discard)
+        return True
 
     async def _start(self, sock: socket.socket, guest: Guest) -> None:
         try:
@@ -154,6 +157,12 @@
         self._take_spare()
         self.loop.add_reader(self.sock.fileno(), self._ready)
 
+    def take_rest(self) -> None:
+        """Accept what waits: closing the socket would reset it."""
+        for _ in range(REST_MOST):
+            if self.closed or self.resume is not None or not self._ready():
+                return
+
     def close(self) -> None:
         if self.closed:
             return
--- /dev/null
+++ b/dykefold/control/handover.py
@@ -0,0 +1,148 @@
+"""Two processes, one sidecar: the hand-over from an older one to a newer one. No I/O.
+
+Each process shows a `Sign` where the others can read it and looks at theirs every `LOOK_NS`. Whoever's sign
+has not changed for `STALE_NS` is gone, however it went, so that each step that fails has the same end: the
+one that is left goes on alone with all of the limits.
+
+The rules that this file keeps:
+1. The parts of the limits that live processes take never come to more than the whole: one that starts
+   serves only when every older one has shown that it has made room, or is gone.
+2. A process says that it takes clients when it does, and never again once it has begun to end.
+3. An older process gives its clients away only in a planned end, and only while a newer one takes them.
+4. What is remembered of others is bounded: `OTHERS_MOST` signs, the latest.
+
+States and what leads from one to the next:
+
+    state      | event          | next
+    STARTING   | may serve      | TAKING     every older process has made room, or was waited for long enough
+    TAKING     | newer starts   | SHARING
+    SHARING    | newer takes    | HANDING
+    SHARING    | newer is gone  | TAKING
+    HANDING    | newer is gone  | TAKING     it died after its yes: its clients come back here
+    any        | is to end      | ENDING
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+MS = 1_000_000
+LOOK_NS = 100 * MS  # between two looks, and between two signs while others live
+STALE_NS = 1_500 * MS  # far more than a loop is ever late; less than the shortest planned end
+ROOM_WAIT_NS = 800 * MS  # for an older process to make room: the platform gives 6 s until the yes
+OTHERS_MOST = 8
+
+
+class State(Enum):
+    STARTING = "starting"
+    TAKING = "taking"
+    SHARING = "sharing"
+    HANDING = "handing"
+    ENDING = "ending"
+
+
+class Event(Enum):
+    MAY_SERVE = "may serve"
+    NEWER_STARTS = "newer starts"
+    NEWER_TAKES = "newer takes"
+    NEWER_GONE = "newer is gone"
+    TO_END = "is to end"
+
+
+TABLE: dict[tuple[State, Event], State] = {
+    (State.STARTING, Event.MAY_SERVE): State.TAKING,
+    (State.TAKING, Event.NEWER_STARTS): State.SHARING,
+    (State.TAKING, Event.NEWER_TAKES): State.HANDING,
+    (State.SHARING, Event.NEWER_TAKES): State.HANDING,
+    (State.SHARING, Event.NEWER_GONE): State.TAKING,
+    (State.HANDING, Event.NEWER_GONE): State.TAKING,
+    **{(state, Event.TO_END): State.ENDING for state in State},
+}
+SERVING = frozenset((State.TAKING, State.SHARING, State.HANDING))  # and so it says
+
+
+@dataclass(frozen=True, slots=True)
+class Sign:
+    """What a process shows of itself.
+
+    Attributes:
+        name: of the process, unlike any other's.
+        born_ns: when it started, monotonic on the machine: the later one is the newer.
+        beat_ns: when this was written.
+        state: of its hand-over.
+        sees: live processes that it has made room for, itself among them; it takes one part in so many.
+    """
+
+    name: str
+    born_ns: int
+    beat_ns: int
+    state: State
+    sees: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What a look has shown.
+
+    Attributes:
+        parts: live processes, this one among them: it may take one part in so many of every limit.
+        newer_takes: whether clients are better off with a newer process.
+        arrived: whether an older or newer process has come into view since the last look.
+        may_serve: whether this one may begin to take clients.
+    """
+
+    parts: int
+    newer_takes: bool
+    arrived: bool
+    may_serve: bool
+
+
+class Handover:
+    """One process's side of it."""
+
+    def __init__(self, name: str, born_ns: int) -> None:
+        self.name = name
+        self.born_ns = born_ns
+        self.state = State.STARTING
+        self.sees: tuple[str, ...] = (name,)
+
+    def sign(self, now_ns: int) -> Sign:
+        """What to show now."""
+        return Sign(self.name, self.born_ns, now_ns, self.state, self.sees)
+
+    def look(self, now_ns: int, signs: Iterable[Sign]) -> View:
+        """Take what the others show."""
+        signs = sorted(signs, key=lambda sign: (sign.born_ns, sign.name))[-OTHERS_MOST:]
+        mine = (self.born_ns, self.name)
+        # One that was alone until now has not had to show that it lives.
+        older = [sign for sign in signs if (sign.born_ns, sign.name) < mine]
+        others = [sign for sign in signs if sign.name != self.name and now_ns - sign.beat_ns < STALE_NS]
+        newer = [sign for sign in others if (sign.born_ns, sign.name) > mine]
+        before, self.sees = self.sees, (self.name, *(sign.name for sign in others))
+        newer_takes = any(sign.state in SERVING for sign in newer)
+        if newer_takes:
+            self._go(Event.NEWER_TAKES)
+        elif any(sign.state is State.STARTING for sign in newer):
+            self._go(Event.NEWER_STARTS)
+        elif not newer:
+            self._go(Event.NEWER_GONE)
+        made_room = all(self.name in sign.sees for sign in older)
+        return View(
+            parts=len(self.sees),
+            newer_takes=newer_takes,
+            arrived=any(name not in before for name in self.sees),
+            may_serve=made_room or now_ns - self.born_ns >= ROOM_WAIT_NS,
+        )
+
+    def serves(self) -> None:
+        """It takes clients from now on."""
+        self._go(Event.MAY_SERVE)
+
+    def ends(self) -> None:
+        """Its planned end has begun."""
+        self._go(Event.TO_END)
+
+    def _go(self, event: Event) -> None:
+        self.state = TABLE.get((self.state, event), self.state)
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -83,6 +83,8 @@
         self.grammar: Reader
         self.pools: dict[Pool, None] = {}  # those that are served and those that retire
         self.half_close = False
+        self.sockets, self.memory_limit = sockets, memory  # of the sidecar, and of its processes ...
+        self.parts = 1  # ... that live just now: this one takes one part
         self.budget = Budget(sockets, set_aside)
         self.memory = Memory(memory)
         self.clients = Clients(Admission(self._share(), caps or Caps()), system)
@@ -93,6 +95,7 @@
         self.ids: set[bytes] = set()  # as clients named the requests that are open or have just been
         self.old_ids: deque[tuple[float, bytes]] = deque()
         self.draining = False
+        self.handing = False  # clients have a newer process to go to
         self.taking = True
         self.ended = False  # all that was held has been answered, and nothing more is taken
         self.stopped = loop.create_future()
@@ -196,11 +199,19 @@
 
     def limit(self, sockets: int, caps: Caps) -> None:
         """Take other limits while running: what is open beyond them goes, except what a request needs."""
-        self.budget.resize(sockets)
+        self.sockets = sockets
+        self.budget.resize(sockets // self.parts)
+        self.memory.resize(self.memory_limit // self.parts)
         self.clients.resize(self._share(), caps)
         for pool in self.pools:
             pool.upstreams.shrink()
 
+    def share(self, parts: int) -> None:
+        """Take one part in so many of the limits: so many processes of this sidecar live."""
+        if parts != self.parts:
+            self.parts = parts
+            self.limit(self.sockets, self.clients.admission.caps)
+
     # Housekeeping and the end
 
     def _sweep(self) -> None:
@@ -232,7 +243,9 @@
         """
         self._close_listener()
         self._end_if_done()
-        self.loop.call_later(QUIET_AFTER_TERM, self._await_quiet, self._taken())
+        # With a newer process to go to, clients leave by themselves, each behind its next answer.
+        if not self.handing:
+            self.loop.call_later(QUIET_AFTER_TERM, self._await_quiet, self._taken())
 
     def _await_quiet(self, before: int) -> None:
         if not self.taking:
@@ -253,6 +266,7 @@
 
     def _close_listener(self) -> None:
         if self.listener is not None:
+            self.listener.take_rest()
             self.listener.close()
         self.listener = None
 
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -221,6 +221,7 @@
     lag: Lag
     grammar: Reader
     draining: bool
+    handing: bool  # clients have a newer process to go to, and do so behind their next answer
     taking: bool
     half_close: bool  # a client that has ended its side may still wait for answers
 
@@ -780,7 +781,7 @@
 
     def _stays(self) -> bool:
         """Whether the connection is of use after the next answer."""
-        return bool(self.waiting) or (self.engine.taking and not self.over)
+        return bool(self.waiting) or (self.engine.taking and not self.engine.handing and not self.over)
 
     def _respond(self, code: int, headers: bytes, body: bytes, keep_alive: bool, head: bool = False) -> None:
         keep_alive = keep_alive and self._stays()
--- a/dykefold/net/limits.py
+++ b/dykefold/net/limits.py
@@ -14,8 +14,12 @@
     MOST = 48 * MB
 
     def __init__(self, limit: int) -> None:
-        self.most = int(min(max((limit - self.PROGRAM) * self.PART, self.LEAST), self.MOST))
         self.held = 0
+        self.resize(limit)
+
+    def resize(self, limit: int) -> None:
+        """Take another limit on the memory of the whole process, in bytes; what is held stays held."""
+        self.most = int(min(max((limit - self.PROGRAM) * self.PART, self.LEAST), self.MOST))
 
     def reserve(self, size: int) -> bool:
         if self.held + size > self.most:
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -9,14 +9,14 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any, Protocol
 
 from .. import interface as api
 from ..admission.budget import Allowance, Budget
 from ..admission.rules import Client
-from ..control.maintenance import Maintenance
+from ..control.maintenance import Maintenance, Said
 from ..interface import Settings, State, Status
 from ..logic import Balancer
 from ..settings import Transport
@@ -646,6 +646,12 @@
             self._apply(News(self.version, False, told))
         return before is not out
 
+    def merge_maintenance(self, said: Mapping[str, Said]) -> None:
+        """Take what another process of this sidecar was told of servers."""
+        told = self.maintenance.merge(said)
+        if told:
+            self._apply(News(self.version, False, told))
+
     def _apply(self, news: News, kind: api.ListKind | None = None) -> None:
         began_s = self.monotonic()
         # The module first, so that what the sockets then give up is not sent to the same server again.
--- /dev/null
+++ b/tests/control/test_handover.py
@@ -0,0 +1,203 @@
+"""The hand-over as a state table: every step that fails has an end, and parts never exceed the whole."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from dykefold.control.board import FILE_MOST, Files
+from dykefold.control.handover import LOOK_NS, MS, ROOM_WAIT_NS, STALE_NS, TABLE, Event, Handover, State
+from dykefold.control.maintenance import Said
+from dykefold.control.upgrade import read_said, read_sign, sign_word
+
+
+class Life:
+    """A process of a sidecar: it looks every `LOOK_NS` and shows itself as the edge does."""
+
+    def __init__(self, number, now):
+        self.handover = Handover(f"p{number}", now)
+        self.alive = True
+        self.parts = None  # of the limits it takes one in so many; None: it takes none yet
+        self.view = None
+        self.shown = self.handover.sign(now)
+
+    def look(self, now, lives):
+        if not self.alive:
+            return
+        others = [life.shown for life in lives if life is not self]
+        self.view = self.handover.look(now, others)
+        if self.handover.state is State.STARTING:
+            if self.view.may_serve:
+                self.handover.serves()
+                self.parts = self.view.parts
+        else:
+            self.parts = self.view.parts
+        if self.view.parts > 1:  # alone it has nobody to show itself to
+            self.shown = self.handover.sign(now)
+
+
+def play(lives, now, steps):
+    for _ in range(steps):
+        now += LOOK_NS
+        for life in lives:
+            life.look(now, lives)
+    return now
+
+
+def upgraded():
+    lives = [Life(0, 0)]
+    now = play(lives, 0, 10)
+    lives.append(Life(1, now))
+    return lives, now
+
+
+def test_an_upgrade_takes_its_steps():
+    lives, now = upgraded()
+    old, new = lives
+    assert old.handover.state is State.TAKING and old.parts == 1
+    new.look(now, lives)
+    assert new.parts is None  # it waits until there is room
+    now = play(lives, now, 2)
+    assert (old.parts, new.parts) == (2, 2)
+    now = play(lives, now, 1)
+    assert old.handover.state is State.HANDING and old.view.newer_takes
+    old.handover.ends()
+    now = play(lives, now, 3)
+    assert old.handover.state is State.ENDING
+    old.alive = False
+    play(lives, now, STALE_NS // LOOK_NS + 2)
+    assert new.parts == 1 and new.handover.state is State.TAKING
+
+
+def test_a_new_one_that_dies_before_its_yes_leaves_all_to_the_old_one():
+    lives, now = upgraded()
+    lives[0].look(now, lives)
+    assert lives[0].handover.state is State.SHARING and lives[0].parts == 2
+    lives[1].alive = False
+    play(lives, now, STALE_NS // LOOK_NS + 2)
+    assert lives[0].handover.state is State.TAKING and lives[0].parts == 1
+
+
+def test_a_new_one_that_dies_after_its_yes_gives_its_clients_back():
+    lives, now = upgraded()
+    now = play(lives, now, 3)
+    assert lives[0].handover.state is State.HANDING
+    lives[1].alive = False
+    play(lives, now, STALE_NS // LOOK_NS + 2)
+    assert lives[0].handover.state is State.TAKING and not lives[0].view.newer_takes
+
+
+def test_an_old_one_that_was_killed_is_not_waited_for_long():
+    lives, now = upgraded()
+    lives[0].alive = False
+    play(lives, now, ROOM_WAIT_NS // LOOK_NS + 1)
+    assert lives[1].parts == 1 and lives[1].handover.state is State.TAKING
+
+
+def test_two_upgrades_at_once_share_and_the_newest_takes():
+    lives, now = upgraded()
+    lives.append(Life(2, now + 1))
+    now = play(lives, now, 4)
+    assert [life.parts for life in lives] == [3, 3, 3]
+    assert lives[0].view.newer_takes and lives[1].view.newer_takes and not lives[2].view.newer_takes
+
+
+def test_one_that_ends_never_takes_again():
+    assert all(TABLE.get((State.ENDING, event), State.ENDING) is State.ENDING for event in Event)
+
+
+class Machine(RuleBasedStateMachine):
+    """Processes that start, die and end at any time; loops are late by less than they may be."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0
+        self.lives = [Life(0, 0)]
+        self.number = 1
+        play(self.lives, 0, 10)
+        self.now = 10 * LOOK_NS
+
+    @rule()
+    def starts(self):
+        gone = [
+            life for life in self.lives if not life.alive and self.now - life.shown.beat_ns > 9 * STALE_NS
+        ]
+        self.lives = [life for life in self.lives if life not in gone]
+        if len(self.lives) < 6:
+            self.lives.append(Life(self.number, self.now))
+            self.number += 1
+
+    @rule(which=st.integers(0, 9))
+    def dies(self, which):
+        if self.lives:
+            self.lives[which % len(self.lives)].alive = False
+
+    @rule(which=st.integers(0, 9))
+    def ends(self, which):
+        if self.lives:
+            self.lives[which % len(self.lives)].handover.ends()
+
+    @rule(steps=st.integers(1, 20))
+    def time_passes(self, steps):
+        self.now = play(self.lives, self.now, steps)
+
+    @rule(order=st.randoms())
+    def looks_in_any_order(self, order):
+        lives = list(self.lives)
+        order.shuffle(lives)
+        self.now += MS
+        for life in lives:
+            life.look(self.now, self.lives)
+
+    @invariant()
+    def the_parts_are_no_more_than_the_whole(self):
+        parts = [life.parts for life in self.lives if life.alive and life.parts]
+        assert sum(1 / part for part in parts) < 1.0 + 1e-9
+
+
+TestHandover = Machine.TestCase
+TestHandover.settings = settings(max_examples=100, stateful_step_count=30, deadline=None)
+
+
+def test_signs_are_read_as_they_were_written_and_nothing_else_is(tmp_path):
+    board = Files(str(tmp_path))
+    sign = Handover("a", 5).sign(7)
+    said = {"s1": Said(9, True), "s2": Said(8, False)}
+    assert board.write("sign-a", sign_word(sign, said))
+    (word,) = board.read_all("sign-").values()
+    assert read_sign(word) == sign and read_said(word) == said
+    assert read_sign({"name": "a"}) is None and read_sign({**word, "state": "flying"}) is None
+    assert read_said({"said": {"s1": [1], "s2": "x", "s3": [1, 2], "s4": [5, True]}}) == {"s4": Said(5, True)}
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b'{"version": 1, "name": "a", "bo',
+        b'{"version": 2, "name": "a"}',
+        b"[]",
+        b"\xff\xfe",
+        b"[" * 100_000,
+        b'"' + b"x" * (FILE_MOST + 10) + b'"',
+    ],
+    ids=["empty", "torn", "newer", "list", "bytes", "deep", "huge"],
+)
+def test_what_can_not_be_read_counts_as_not_there(tmp_path, data):
+    board = Files(str(tmp_path))
+    (tmp_path / "dykefold" / "sign-a.json").write_bytes(data)
+    board.write("sign-b", {"name": "b"})
+    assert list(board.read_all("sign-")) == ["sign-b"] and board.read("sign-a") is None
+
+
+def test_a_change_is_noticed_and_a_write_that_fails_is_told(tmp_path):
+    board = Files(str(tmp_path))
+    board.read_all("sign-")
+    assert not board.changed()
+    assert board.write("sign-a", {}) and board.changed()
+    board.read_all("sign-")
+    assert not board.changed()
+    board.remove("sign-a")
+    assert board.changed() and board.read("sign-a") is None
+    (tmp_path / "dykefold").rmdir()
+    assert not board.write("sign-a", {}) and board.read_all("sign-") == {}
--- /dev/null
+++ b/tests/control/test_upgrade.py
@@ -0,0 +1,217 @@
+"""Upgrades of the real program: both processes on one address, and what the newer one knows."""
+
+import asyncio
+import contextlib
+import itertools
+import signal
+import socket
+
+import pytest
+from net_helpers import (
+    HOST,
+    WAIT,
+    Fake,
+    Sidecar,
+    answer_ok,
+    ask,
+    config,
+    entry,
+    message,
+    news,
+    read_message,
+    run,
+    until,
+)
+from process_helpers import Process
+
+from dykefold.control.steering import steer
+
+IDENTS = itertools.count()
+
+
+async def call(port, line):
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(f"{line} HTTP/1.1\r\nHost: door\r\nContent-Length: 0\r\n\r\n".encode())
+    async with asyncio.timeout(WAIT):
+        got = await reader.read()
+    writer.close()
+    return int(got.split()[1])
+
+
+class Sidecars:
+    """Processes of one sidecar, one after the other, in one folder."""
+
+    def __init__(self, tmp_path, *fakes):
+        self.tmp_path = tmp_path
+        (tmp_path / "tmp").mkdir()
+        self.known = news(1, *(entry(f"s{n}", fake.address) for n, fake in enumerate(fakes)))
+        self.port = 0
+        self.number = 0
+
+    def next(self):
+        self.number += 1
+        data = config(self.known, control=f"{HOST}:0", listen=f"{HOST}:{self.port}")
+        path = self.tmp_path / f"c{self.number}"
+        return Process(path, data, TMPDIR=str(self.tmp_path / "tmp"))
+
+
+async def clients(port, stop, results):
+    """New connections one after another, each with one request."""
+    while not stop.is_set():
+        try:
+            got = await ask(port, message("lookup", f"r{next(IDENTS)}"))
+            results.append(got.code)
+        except (OSError, EOFError) as error:
+            results.append(repr(error))
+        await asyncio.sleep(0)
+
+
+def test_no_connection_is_lost_in_upgrades_under_constant_new_ones(tmp_path):
+    """Guards what stands in the queue of the socket that closes, and what comes to it meanwhile."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        sidecars = Sidecars(tmp_path, fake)
+        async with contextlib.AsyncExitStack() as stack:
+            old = await stack.enter_async_context(sidecars.next())
+            sidecars.port = old.port
+            stop, results = asyncio.Event(), []
+            load = [asyncio.create_task(clients(old.port, stop, results)) for _ in range(8)]
+            kept_reader, kept_writer = await asyncio.open_connection(HOST, old.port)
+            for round_ in range(3):
+                new = await stack.enter_async_context(sidecars.next())
+                await until(lambda: len(results) > 20)
+                assert await call(new.door, "GET /healthcheck") == 200
+                old.process.send_signal(signal.SIGTERM)
+                # One that stays with the older process is told to go with its next answer.
+                number, told = 0, None
+                while told != "close":
+                    number += 1
+                    kept_writer.write(message("lookup", f"kept{round_}-{number}"))
+                    got = await read_message(kept_reader)
+                    told = got.headers.get("connection")
+                    assert got.code == 200
+                kept_writer.close()
+                assert await old.process.wait() == 0
+                assert b"Traceback" not in await old.log
+                kept_reader, kept_writer = await asyncio.open_connection(HOST, old.port)
+                old = new
+                results_now = len(results)
+                await until(lambda before=results_now: len(results) > before + 20)
+            stop.set()
+            await asyncio.gather(*load)
+            kept_writer.close()
+            assert set(results) == {200}
+
+    run(play())
+
+
+def test_bans_outlive_an_upgrade_and_hold_in_both_processes_meanwhile(tmp_path):
+    async def play():
+        fakes = [await Fake(answer_ok).start() for _ in range(3)]
+        sidecars = Sidecars(tmp_path, *fakes)
+        async with contextlib.AsyncExitStack() as stack:
+            old = await stack.enter_async_context(sidecars.next())
+            sidecars.port = old.port
+            assert await call(old.door, "POST /servers/s0/maint") == 200
+            new = await stack.enter_async_context(sidecars.next())
+            assert await call(new.door, "POST /servers/s1/maint") == 200
+            await asyncio.sleep(0.3)  # the grace that a drain has, and less than that is needed
+            _, writer = await asyncio.open_connection(HOST, old.port)
+            old.process.send_signal(signal.SIGTERM)
+            assert await old.process.wait() == 0
+            writer.close()
+            for number in range(20):
+                assert (await ask(new.port, message("lookup", f"a{number}"))).code == 200
+            assert not fakes[0].got and not fakes[1].got and len(fakes[2].got) == 20
+            assert await call(new.door, "POST /servers/s0/ready") == 200
+            assert await call(new.door, "POST /servers/s2/maint") == 200
+            assert (await ask(new.port, message("lookup", "b"))).code == 200
+            assert len(fakes[0].got) == 1
+
+    run(play())
+
+
+def test_a_new_process_that_dies_after_its_yes_gives_its_clients_back(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        sidecars = Sidecars(tmp_path, fake)
+        async with sidecars.next() as old:
+            sidecars.port = old.port
+            async with sidecars.next() as new:
+                assert await call(new.door, "GET /healthcheck") == 200
+                new.process.kill()
+                await new.process.wait()
+            for number in range(10):
+                assert (await ask(old.port, message("lookup", f"a{number}"))).code == 200
+            assert await call(old.door, "GET /healthcheck") == 200
+            async with sidecars.next() as again:
+                assert await call(again.door, "GET /healthcheck") == 200
+
+    run(play())
+
+
+def test_without_a_folder_there_is_a_door_and_no_hand_over(tmp_path):
+    async def play():
+        fake = await Fake(answer_ok).start()
+        sidecars = Sidecars(tmp_path, fake)
+        async with sidecars.next() as process:
+            assert (await ask(process.port, message("lookup", "a"))).code == 200
+        (tmp_path / "tmp" / "dykefold").rename(tmp_path / "gone")
+        (tmp_path / "tmp").rmdir()
+        async with sidecars.next() as process:
+            assert await call(process.door, "GET /healthcheck") == 200
+            assert await call(process.door, "POST /servers/s0/maint") == 200
+
+    run(play())
+
+
+def waiting(sock):
+    """How many connections wait to be accepted."""
+    sock.setblocking(False)
+    count = 0
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            sock.accept()[0].close()
+            count += 1
+    return count
+
+
+def test_a_newer_listener_gets_all_new_connections_and_an_older_one_all_when_it_is_left():
+    with contextlib.ExitStack() as stack:
+        old = stack.enter_context(socket.create_server((HOST, 0), backlog=128, reuse_port=True))
+        address = old.getsockname()
+        new = stack.enter_context(socket.create_server(address, backlog=128, reuse_port=True))
+        steer(new, 1)
+        for _ in range(64):
+            stack.enter_context(socket.create_connection(address))
+        assert (waiting(old), waiting(new)) == (0, 64)
+        new.close()  # as when its process dies: the place that the filter names is empty
+        for _ in range(64):
+            stack.enter_context(socket.create_connection(address))
+        assert waiting(old) == 64
+
+
+def test_what_waits_in_the_queue_of_a_listener_that_closes_is_taken(tmp_path):
+    """Guards those who connected in time: closing the socket would reset them."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            # All in one turn of the loop: none of them can be accepted on the way.
+            early = [socket.create_connection((HOST, sidecar.port)) for _ in range(40)]
+            sidecar.engine._close_listener()
+            for number, sock in enumerate(early):
+                reader, writer = await asyncio.open_connection(sock=sock)
+                writer.write(message("lookup", f"a{number}"))
+                assert (await read_message(reader)).code == 200
+                writer.close()
+
+    run(play())
+
+
+def test_steering_is_refused_for_what_is_no_listener():
+    import socket
+
+    with socket.socket(socket.AF_UNIX) as sock, pytest.raises(OSError):
+        steer(sock, 0)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -4,8 +4,6 @@
 import contextlib
 import json
 import os
-import re
-import resource
 import signal
 import subprocess
 import sys
@@ -31,6 +29,7 @@
     run,
     until,
 )
+from process_helpers import Process
 
 from dykefold.net.engine import planned_end
 from dykefold.settings import nested_settings, parse_settings
@@ -39,43 +38,6 @@
 READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
 
 
-class Process:
-    """The real program, with the port that it says it listens at."""
-
-    def __init__(self, path, data, descriptors=None):
-        path.write_text(json.dumps(data))
-        self.path = path
-        self.descriptors = descriptors
-        self.port = 0
-
-    def _limit(self):
-        if self.descriptors is not None:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
-
-    async def __aenter__(self):
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "dykefold",
-            cwd=ROOT,
-            env={**os.environ, "GW_CONFIG": str(self.path)},
-            stderr=asyncio.subprocess.PIPE,
-            preexec_fn=self._limit,
-        )
-        while not self.port:
-            line = await self.process.stderr.readline()
-            assert line, "it ended before it listened"
-            if match := re.search(rb"listens at 127\.0\.0\.1:(\d+)", line):
-                self.port = int(match[1])
-        self.log = asyncio.create_task(self.process.stderr.read())
-        return self
-
-    async def __aexit__(self, *_):
-        if self.process.returncode is None:
-            self.process.kill()
-        await self.process.wait()
-
-
 def test_a_planned_end_answers_what_is_held_and_what_still_comes(tmp_path):
     async def play():
         async def act(message, reader, writer):
