Module: beliefs by class as records, other settings as an event, streams not in flight

Need: settings that change while requests are open, and long messages that counted as load for as long as their clients took.

Change: what is believed of a class is one record, which requests hold; Retune replaces settings and keeps estimates under a class's name; attempts and deadlines of open requests stay theirs. A body that flows leaves what is in flight (StreamStarted), is learned from at an answer's first byte, and comes back when it has reached its server whole (BodySent).

--- a/dykefold/interface.py
+++ b/dykefold/interface.py
@@ -156,10 +156,23 @@
 
 @dataclass(slots=True)
 class StreamStarted:
+    """A body has begun to flow: an answer, which is the attempt's service; or, as MOOT, the request's."""
+
     id: int
     attempt: int
     server: int
     duration_ns: int
+    status: Status = Status.OK
+    report: tuple[float, ...] = ()
+
+
+@dataclass(slots=True)
+class BodySent:
+    """A request's body that flowed has reached its server whole: from now on it works on it."""
+
+    id: int
+    attempt: int
+    server: int
 
 
 @dataclass(slots=True)
@@ -186,6 +199,19 @@
     token: int
 
 
+@dataclass(slots=True)
+class Retune:
+    """Other settings from now on.
+
+    Attributes:
+        settings: with the classes by number: a number that a request may still hold has its class as before.
+        retired: numbers that no new request is of.
+    """
+
+    settings: Settings
+    retired: frozenset[int] = frozenset()
+
+
 # Actions
 
 
@@ -254,5 +280,16 @@
     text: str
 
 
-Event = Membership | Request | Outcome | StreamStarted | Dropped | ProbeResult | PeerMessage | Timer
+Event = (
+    Membership
+    | Request
+    | Outcome
+    | StreamStarted
+    | BodySent
+    | Dropped
+    | ProbeResult
+    | PeerMessage
+    | Timer
+    | Retune
+)
 Action = Send | Refuse | Fail | Cancel | Probe | CloseIdle | Tell | Watch | Fetch | SetTimer | Log
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -12,36 +12,10 @@
 import random
 import struct
 from collections.abc import Callable
+from copy import copy
 
-from .interface import (
-    Action,
-    Cancel,
-    Dropped,
-    Effect,
-    Endpoint,
-    Event,
-    Fail,
-    ListKind,
-    Log,
-    Membership,
-    Outcome,
-    PeerMessage,
-    Probe,
-    ProbeResult,
-    Refuse,
-    Request,
-    RequestClass,
-    Scope,
-    Send,
-    SetTimer,
-    Settings,
-    State,
-    Status,
-    StreamStarted,
-    Tell,
-    Timer,
-    Watch,
-)
+from . import interface as api
+from .interface import Effect, Endpoint, ListKind, RequestClass, Scope, Settings, State, Status
 
 # Repeats. The delay before repeat n is uniform(FLOOR, min(CAP, BASE * 2^min(n, 6))) of the time left.
 BACKOFF_FLOOR = 0.004  # a few ticks of a usual deadline: enough to leave the tick of the failure
@@ -187,7 +161,7 @@
     def __init__(self, entry: Endpoint, rank: float) -> None:
         self.id = entry.server
         self.rank = rank  # by the own seed: each sidecar samples from others
-        self.out: dict[tuple[int, int], list[int]] = {}  # (request, attempt) -> [sent, class, overtaken by]
+        self.out: dict[tuple[int, int], Flight] = {}  # by request and attempt
         self.lost: set[tuple[int, int]] = set()  # of these, whose answers are not waited for any more
         self.pressed: set[tuple[int, int]] = set()  # ... and those counted as pressure while they wait
         self.listed = True
@@ -232,14 +206,41 @@
         self.lean = 0.0  # logarithm of the weight with which its servers are sampled
 
 
+class Work:
+    """What this sidecar believes of the requests of one class."""
+
+    def __init__(self, spec: RequestClass) -> None:
+        self.spec = spec
+        self.base = spec.objective_ns * UNKNOWN_LATENCY  # smoothed latency, and its mean deviation
+        self.deviation = self.base / 2
+        self.seen = 0
+        self.usual = self.base
+        self.usual_at = 0
+        self.try_span = 0  # how long clients wait for a first try: what most tries state
+        self.try_votes = 0  # tries of late that stated it, less those that did not
+        self.share = 1.0  # of the limit that is open to it
+
+
+class Flight:
+    """An attempt that is out."""
+
+    __slots__ = ("overtaken", "sent", "work")
+
+    def __init__(self, sent: int, work: Work) -> None:
+        self.sent = sent
+        self.work = work
+        self.overtaken = 0  # by so many answers to later ones
+
+
 class Open:
-    """A request that is owed an answer."""
+    """A request that is owed an answer, by the settings that it was taken under."""
 
-    def __init__(self, request: Request, spec: RequestClass, now: int) -> None:
+    def __init__(self, request: api.Request, work: Work, most: int, now: int) -> None:
         self.id = request.id
-        self.cls = request.cls
+        self.work = work
+        self.most = most  # attempts
         self.tenant = request.tenant
-        self.spec = spec
+        self.spec = work.spec
         self.deadline = request.deadline_ns
         self.send_by = now + int(UNSENT_MOST * (self.deadline - now))
         self.written = False  # some attempt has reached a server
@@ -262,10 +263,11 @@
 
 class Balancer:
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
+        self.works = [Work(spec) for spec in settings.classes]  # by their numbers, which retired ones keep
+        self._take(settings, self.works)
         self.random = random.Random(seed)
         self.now = 0
-        self.actions: list[Action] = []
+        self.actions: list[api.Action] = []
         self.servers: dict[int, Server] = {}
         self.open: dict[int, Open] = {}
         self.near: list[Server] = []  # ready and not ejected, in the own zone
@@ -276,12 +278,8 @@
         self.sees_little = True
         self.crowded = True  # there are more sidecars than servers
         self.set_size = 0
-        self.has_safe = any(spec.effect is Effect.SAFE for spec in settings.classes)
         self.groups: dict[tuple[int, bool], Group] = {}
         self.mean_rel = 1.0
-        columns = settings.report_columns
-        held = [columns.index(name) for name in ("inflight", "queue") if name in columns]
-        self.load_column = held[0] if held else None
         self.asking: dict[int, list[int]] = {}  # server -> requests that wait for what it holds
         self.stands_for = [1.0, 1.0]  # ready servers near and far for each one sampled
         self.demand = 0.0  # own requests a second
@@ -290,18 +288,10 @@
         self.timers: list[tuple[int, int, int, int]] = []
         self.timer_armed = 0
         self.timer_token = 0
-        self.base = [spec.objective_ns * UNKNOWN_LATENCY for spec in settings.classes]
-        self.deviation = [base / 2 for base in self.base]
-        self.seen = [0] * len(self.base)
         self.rate = 0.0  # own requests answered per second, smoothed
         self.forget = 1.0  # time in which an estimate halves its distance to the mean
         self.rate_at = 0
         self.retry_tokens = RETRY_SHARE * RETRY_RESERVE
-        self.shortest = min(spec.deadline_ns for spec in settings.classes)
-        self.usual = list(self.base)
-        self.usual_at = [0] * len(self.base)
-        self.try_span = [0] * len(self.base)  # how long clients wait for a first try: what most tries state
-        self.try_votes = [0] * len(self.base)  # tries of late that stated it, less those that did not
         self.pressure = PRESSURE_PRIOR
         self.press_sum = self.press_count = 0.0
         self.pressed_at = 0
@@ -314,33 +304,43 @@
         self.good = 0.0  # the limit after the first of the latest cuts
         self.pressed = False
         self.cut_at = 0  # attempts sent before the latest cut tell nothing of what it did
-        tenants = len(settings.tenants)
-        self.asked = [0.0] * tenants  # first tries since the shares were judged
-        self.asks = [0.0] * tenants  # first tries per second, smoothed
         self.shares_at = 0
-        self.over_share: list[float] = []  # the part of each tenant's traffic that is over its share
-        self.peer_asks: dict[int, tuple[int, list[float]]] = {}
-        self.rates = struct.Struct(f"<{tenants}I")  # the peers' message: first tries a second by tenant
         self.limit = 1e9  # until the first correction
         self.limit_at = 0
-        self.limit_every = int(self.shortest * LIMIT_EVERY)
-        self.share_of = [1.0] * len(self.base)
-        self.cross = settings.price_cross_zone * CROSS_WEIGHT
         self.watch_fails = 0
         self.watching = False
         self.log_at = 0
         self.handlers: dict[type, Callable] = {
-            Request: self._on_request,
-            Outcome: self._on_outcome,
-            Timer: self._on_timer,
-            Dropped: self._on_dropped,
-            Membership: self._on_membership,
-            PeerMessage: self._on_peer,
-            ProbeResult: self._on_probe,
-            StreamStarted: self._on_stream,
+            api.Request: self._on_request,
+            api.Outcome: self._on_outcome,
+            api.Timer: self._on_timer,
+            api.Dropped: self._on_dropped,
+            api.Membership: self._on_membership,
+            api.PeerMessage: self._on_peer,
+            api.ProbeResult: self._on_probe,
+            api.StreamStarted: self._on_stream,
+            api.BodySent: self._on_body,
+            api.Retune: self._on_retune,
         }
 
-    def handle(self, now_ns: int, event: Event) -> list[Action]:
+    def _take(self, settings: Settings, live: list[Work]) -> None:
+        self.settings = settings
+        self.live = live  # what new requests may be of
+        self.has_safe = any(work.spec.effect is Effect.SAFE for work in live)
+        self.shortest = min(work.spec.deadline_ns for work in live)
+        self.limit_every = int(self.shortest * LIMIT_EVERY)
+        self.cross = settings.price_cross_zone * CROSS_WEIGHT
+        columns = settings.report_columns
+        held = [columns.index(name) for name in ("inflight", "queue") if name in columns]
+        self.load_column = held[0] if held else None
+        tenants = len(settings.tenants)
+        self.asked = [0.0] * tenants  # first tries since the shares were judged
+        self.asks = [0.0] * tenants  # first tries per second, smoothed
+        self.over_share: list[float] = []  # the part of each tenant's traffic that is over its share
+        self.peer_asks: dict[int, tuple[int, list[float]]] = {}
+        self.rates = struct.Struct(f"<{tenants}I")  # the peers' message: first tries a second by tenant
+
+    def handle(self, now_ns: int, event: api.Event) -> list[api.Action]:
         """Take one event at the given time; return what to do, in order."""
         self.now = now_ns
         self.actions = []
@@ -348,14 +348,13 @@
         if self.timers and (not self.timer_armed or self.timers[0][0] < self.timer_armed):
             self.timer_armed = self.timers[0][0]
             self.timer_token = (self.timer_token + 1) & 0xFFFFFFFF
-            self.actions.append(SetTimer(max(self.timer_armed - now_ns, 1), self.timer_token))
+            self.actions.append(api.SetTimer(max(self.timer_armed - now_ns, 1), self.timer_token))
         return self.actions
 
     # Events
 
-    def _on_request(self, event: Request) -> None:
-        spec = self.settings.classes[event.cls]
-        req = Open(event, spec, self.now)
+    def _on_request(self, event: api.Request) -> None:
+        req = Open(event, self.works[event.cls], self.settings.max_attempts, self.now)
         self.open[req.id] = req
         self.retry_tokens = min(
             self.retry_tokens + RETRY_SHARE, RETRY_SHARE * RETRY_RESERVE * max(self.rate, 1.0)
@@ -366,7 +365,7 @@
         if event.deadline_ns <= self.now:
             self._end(req)
             return
-        worth = self._worth_asking(req.cls) if self.sees_little else 0.0
+        worth = self._worth_asking(req.work) if self.sees_little else 0.0
         asks = worth > 0.0 and self.random.random() < worth
         server = None if asks else self._pick(req)
         if server is None and not asks:
@@ -378,18 +377,11 @@
         else:
             self._ask(req)
 
-    def _first_try(self, req: Open) -> None:
-        server = self._pick(req)
-        if server is None:
-            self._plan_repeat(req)
-        else:
-            self._send(req, server)
-
-    def _worth_asking(self, cls: int) -> float:
+    def _worth_asking(self, work: Work) -> float:
         """How often two probes pay: what they save of the answers expected late, against their price."""
         if not (self.settings.can_probe and self.load_column is not None):
             return 0.0
-        late = math.exp(-self.settings.classes[cls].objective_ns / self.base[cls])  # latencies are near that
+        late = math.exp(-work.spec.objective_ns / work.base)  # latencies are near that
         return late * ASK_GAIN / max(self.settings.price_probe, 1e-6)
 
     def _ask(self, req: Open) -> None:
@@ -400,11 +392,11 @@
         req.asked = [server for server, _ in self._sampled(req, ())]
         if len(req.asked) < 2:
             req.asked = []
-            self._first_try(req)
+            self._repeat(req)
             return
         for server in req.asked:
             self.asking.setdefault(server.id, []).append(req.id)
-            self.actions.append(Probe(server.id))
+            self.actions.append(api.Probe(server.id))
         req.planned = True
         req.asked_at = self.now
         wait = min(ASK_WAIT * req.spec.objective_ns, BACKOFF_CAP * (req.deadline - self.now))
@@ -417,21 +409,12 @@
         req.asked = []
         req.planned = False
         if fit:
-            self._send(req, min(fit, key=lambda server: self._delay(server, req.cls)))
+            self._send(req, min(fit, key=lambda server: self._delay(server, req.work)))
         else:
-            self._first_try(req)
+            self._repeat(req)
 
-    def _on_outcome(self, event: Outcome) -> None:
-        server = self.servers.get(event.server)
-        sent = server.out.pop((event.id, event.attempt), None) if server else None
-        if server is not None and sent is not None:
-            lost = (event.id, event.attempt) in server.lost
-            server.lost.discard((event.id, event.attempt))
-            pressed = (event.id, event.attempt) in server.pressed
-            server.pressed.discard((event.id, event.attempt))
-            if not lost and not server.ejected:
-                self.inflight -= 1
-            self._learn(server, sent[0], sent[1], event, lost, pressed)
+    def _on_outcome(self, event: api.Outcome) -> None:
+        self._landed(event)
         req = self.open.get(event.id)
         if req is None:
             return
@@ -446,27 +429,61 @@
         elif not req.planned:
             self._plan_repeat(req)
 
-    def _on_dropped(self, event: Dropped) -> None:
+    def _landed(self, event: api.Outcome | api.StreamStarted) -> None:
+        """Take an attempt out of what is in flight, and its end into the estimates."""
+        server = self.servers.get(event.server)
+        key = (event.id, event.attempt)
+        out = server.out.pop(key, None) if server else None
+        if server is None or out is None:
+            return  # of a stream that began long ago, or of a server that is gone
+        lost, pressed = key in server.lost, key in server.pressed
+        server.lost.discard(key)
+        server.pressed.discard(key)
+        if not lost and not server.ejected:
+            self.inflight -= 1
+        self._learn(server, out, event, lost, pressed)
+
+    def _on_retune(self, event: api.Retune) -> None:
+        """Go by other settings. Estimates of a class go on under its name, open requests by their own."""
+        known = {work.spec.name: work for work in self.live}
+        for number, spec in enumerate(event.settings.classes):
+            if number < len(self.works) and self.works[number].spec == spec:
+                continue
+            work = copy(known[spec.name]) if spec.name in known else Work(spec)
+            work.spec, work.try_votes = spec, 0  # the wait of its first tries may be another
+            self.works[number : number + 1] = [work]
+        self._take(event.settings, [w for n, w in enumerate(self.works) if n not in event.retired])
+        self._regroup()
+
+    def _on_dropped(self, event: api.Dropped) -> None:
         req = self.open.get(event.id)
         if req is not None:
             self._forget(req)
 
-    def _on_stream(self, event: StreamStarted) -> None:
+    def _on_stream(self, event: api.StreamStarted) -> None:
+        """A body flows: nothing more may be sent, and how long it takes says nothing of its server.
+
+        Guards the limit and the estimates against a client that takes a minute for a long message.
+        """
+        self._landed(event)
         req = self.open.get(event.id)
-        server = self.servers.get(event.server)
-        if server is not None:
-            server.last_ok = self.now
         if req is not None:
-            req.streaming = True  # the answer has begun: nothing more may be sent for it
+            req.streaming = True
             self._cancel_others(req, event.attempt)
 
-    def _on_peer(self, event: PeerMessage) -> None:
+    def _on_body(self, event: api.BodySent) -> None:
+        req, server = self.open.get(event.id), self.servers.get(event.server)
+        if req is not None and server is not None:  # from now on its server works on it
+            server.out[(event.id, event.attempt)] = Flight(self.now, req.work)
+            self.inflight += not server.ejected
+
+    def _on_peer(self, event: api.PeerMessage) -> None:
         """A peer's rates by tenant; anything of another length is not ours and skipped."""
         if len(event.data) == self.rates.size and event.sender < self.settings.fleet_size:
             rates = [value / RATE_UNIT for value in self.rates.unpack(event.data)]
             self.peer_asks[event.sender] = (self.now, rates)
 
-    def _on_probe(self, event: ProbeResult) -> None:
+    def _on_probe(self, event: api.ProbeResult) -> None:
         server = self.servers.get(event.server)
         waiting = self.asking.pop(event.server, ())
         if server is None or event.status is not Status.OK:
@@ -477,14 +494,15 @@
             if req is not None and req.asked and all(s.load_at >= req.asked_at for s in req.asked):
                 self._choose(req)
 
-    def _on_timer(self, event: Timer) -> None:
+    def _on_timer(self, event: api.Timer) -> None:
         now = self.now
         if event.token == self.timer_token:
             self.timer_armed = 0
         while self.timers and self.timers[0][0] <= now:
             _, kind, ident, attempt = heapq.heappop(self.timers)
             if kind == WATCH:
-                self._watch()
+                if not self.watching:
+                    self.actions.append(api.Watch(True))
                 continue
             req = self.open.get(ident)
             if req is None or req.streaming:
@@ -503,7 +521,7 @@
 
     # Picking: the lower expected delay of two sampled
 
-    def _delay(self, server: Server, cls: int) -> float:
+    def _delay(self, server: Server, work: Work) -> float:
         """Expected delay by the design: (in-flight + 1) x smoothed latency.
 
         A sidecar that sees little draws it about the estimate, the wider the older its news is: most of
@@ -514,11 +532,11 @@
             group = self._group(server)
             known = 0.5 ** ((self.now - server.load_at) / (LOAD_FADE * self.shortest))
             load = max(group.load + (server.load - group.load) * known, len(server.out))
-            delay = (load + 1.0) * (server.unit or group.unit) * self.base[cls]
+            delay = (load + 1.0) * (server.unit or group.unit) * work.base
             delay = max(delay, self._silence(server))
             news = server.load_at
         else:
-            delay = (len(server.out) + 1) * self._slowness(server) * self.base[cls]
+            delay = (len(server.out) + 1) * self._slowness(server) * work.base
         if self.sees_little:
             stale = 1.0 - 0.5 ** ((self.now - news) / (STALE_AFTER * self.shortest))
             delay *= self.random.expovariate(1.0) ** (stale / STALE_SHARPNESS)
@@ -530,8 +548,8 @@
         rel = server.rel if server.samples else mean
         rel = mean + (rel - mean) * 0.5 ** ((self.now - server.heard) / self.forget)
         if server.out:
-            sent, cls, _ = next(iter(server.out.values()))
-            silence = (self.now - (sent if sent > server.last_ok else server.last_ok)) / self.base[cls]
+            out = next(iter(server.out.values()))
+            silence = (self.now - max(out.sent, server.last_ok)) / out.work.base
             if silence > rel:
                 return silence
         return rel
@@ -540,7 +558,7 @@
         """Silence with work outstanding is evidence before any time-out: a hung server."""
         if not server.out:
             return 0.0
-        return self.now - max(next(iter(server.out.values()))[0], server.last_ok)
+        return self.now - max(next(iter(server.out.values())).sent, server.last_ok)
 
     def _heed(self, server: Server, report: tuple[float, ...], rel: float = 0.0) -> None:
         """Take a load report, and what the answer that it came with took for each request held."""
@@ -568,7 +586,7 @@
             best = None
             lowest = 0.0
             for server, extra in self._sampled(req, tried if fresh else ()):
-                delay = self._delay(server, req.cls) + extra
+                delay = self._delay(server, req.work) + extra
                 if best is None or delay < lowest:
                     best, lowest = server, delay
             if best is not None:
@@ -624,7 +642,7 @@
         excess = rel - self.mean_rel
         self.mean_rel += GROUP_SMOOTHING * excess
         if server.zone != self.settings.zone:
-            aims = sum(spec.objective_ns for spec in self.settings.classes) / sum(self.base)
+            aims = sum(w.spec.objective_ns for w in self.live) / sum(w.base for w in self.live)
             excess += LEAN_CROSS * self.settings.price_cross_zone * aims
         lean = group.lean * (1.0 - LEAN_FADE) - LEAN * min(max(excess, -1.0), LEAN_CLIP)
         group.lean = min(max(lean, -LEAN_MOST), LEAN_MOST)
@@ -664,8 +682,8 @@
             return False
         attempts = req.attempts
         if not attempts:
-            return not server.started or self._cold_allows(server, req.cls, False)
-        if len(attempts) >= self.settings.max_attempts:
+            return not server.started or self._cold_allows(server, req.work, False)
+        if len(attempts) >= req.most:
             return False
         spec = req.spec
         for other, sent, state in attempts:
@@ -682,7 +700,7 @@
                     return False
                 if spec.scope is Scope.ZONE and other.zone != server.zone:
                     return False
-        return self._cold_allows(server, req.cls, False)
+        return self._cold_allows(server, req.work, False)
 
     def _may_refuse(self, req: Open) -> bool:
         """Whether a refusal, which invites the client to try again, does no harm."""
@@ -697,16 +715,16 @@
         number = len(req.attempts)
         req.attempts.append([server, now, OUT])
         req.charged = False
-        overdue = self._overdue_after(server, req.cls, left)
-        server.out[(req.id, number)] = [now, req.cls, 0]
+        overdue = self._overdue_after(server, req.work, left)
+        server.out[(req.id, number)] = Flight(now, req.work)
         if server.ejected:
             server.trial_out = True
         else:
             self.inflight += 1
         if server.started:
-            self._cold_allows(server, req.cls, True)
+            self._cold_allows(server, req.work, True)
         # No time-out of its own: an overdue attempt is judged by what its server did meanwhile.
-        self.actions.append(Send(req.id, server.id))
+        self.actions.append(api.Send(req.id, server.id))
         self._at(now + overdue, OVERDUE, req.id, number)
 
     def _count_answer(self) -> None:
@@ -715,10 +733,9 @@
         self.rate_at = self.now
         self.forget = FORGET_GAPS * max(self.ready_count, 1) / max(self.rate, 1.0) * SECOND
 
-    def _overdue_after(self, server: Server, cls: int, left: int) -> int:
+    def _overdue_after(self, server: Server, work: Work, left: int) -> int:
         """When to doubt an attempt: a slow server is given its time, lest load looks like loss."""
-        base = self.base[cls]
-        usual = max(base + OVERDUE_DEVIATIONS * self.deviation[cls], OVERDUE_AT_LEAST * base)
+        usual = max(work.base + OVERDUE_DEVIATIONS * work.deviation, OVERDUE_AT_LEAST * work.base)
         if server.rel > 1.0:
             usual *= server.rel
         return int(min(usual, OVERDUE_AT_MOST * left)) + 1
@@ -735,10 +752,11 @@
         if (
             left <= 0
             or (not req.written and self.now + delay > req.send_by)
-            or delay + BACKOFF_USEFUL * self.base[req.cls] > left
+            or delay + BACKOFF_USEFUL * req.work.base > left
             or (not first and ((self.retry_tokens < 1.0 and not req.charged) or not self._any_left(req)))
         ):
-            self._give_up(req)
+            if not req.any_out():  # one still out may yet answer
+                self._end(req)
             return
         if not first and not req.charged:
             self.retry_tokens -= 1.0  # when planned, or a lost server's attempts would all spend the last one
@@ -748,17 +766,12 @@
 
     def _any_left(self, req: Open) -> bool:
         """Whether the rules allow any further attempt at all, wherever it went."""
-        if len(req.attempts) >= self.settings.max_attempts:
+        if len(req.attempts) >= req.most:
             return False
         if req.spec.effect is not Effect.UNSAFE:
             return True
         return req.never_ran()
 
-    def _give_up(self, req: Open) -> None:
-        """No repeat: an attempt still out may yet answer, otherwise the request ends."""
-        if not req.any_out():
-            self._end(req)
-
     def _repeat(self, req: Open) -> None:
         server = self._pick(req)
         if server is not None:
@@ -772,14 +785,14 @@
             wait = 0
             if self.settings.retry_after:
                 left = float(max(req.deadline - self.now, 0))
-                spare = req.spec.objective_ns - req.age - self.usual[req.cls]
+                spare = req.spec.objective_ns - req.age - req.work.usual
                 if spare > 0.0:
                     left = min(left, spare)  # another try may still be in time; a later one hardly earns
                 wait = min(self.settings.max_retry_after_ns, int(left * RETRY_AFTER))
                 wait = int(wait * self.random.uniform(RETRY_AFTER_LEAST, 1.0))
-            self.actions.append(Refuse(req.id, wait))
+            self.actions.append(api.Refuse(req.id, wait))
         else:
-            self.actions.append(Fail(req.id))
+            self.actions.append(api.Fail(req.id))
         self._forget(req)
 
     def _forget(self, req: Open) -> None:
@@ -791,31 +804,32 @@
             return
         for number, attempt in enumerate(req.attempts):
             if attempt[2] == OUT and number != keep:
-                self.actions.append(Cancel(req.id, number))
+                self.actions.append(api.Cancel(req.id, number))
 
     # Health
 
-    def _learn(self, server: Server, sent: int, cls: int, event: Outcome, lost: bool, pressed: bool) -> None:
+    def _learn(
+        self, server: Server, out: Flight, event: api.Outcome | api.StreamStarted, lost: bool, pressed: bool
+    ) -> None:
         """Take an attempt's end into the estimates of its server and class."""
-        status = event.status
-        took = event.duration_ns
-        base = self.base[cls]
+        status, took = event.status, event.duration_ns
+        sent, work, base = out.sent, out.work, out.work.base
         if server.ejected:
             server.trial_out = False
         if status is Status.MOOT:
             return
         if status is Status.OK:
-            self._learn_usual(cls, took)
+            self._learn_usual(work, took)
             if server.cold_at:
-                server.cold_tokens += PACE_EARN * self._cost(cls)  # what it has answered it can do again
-            self.done_units += self._unit(cls)
+                server.cold_tokens += PACE_EARN * self._cost(work)  # what it has answered it can do again
+            self.done_units += self._unit(work)
             if self.now - self.born < self.shortest and self.pressure <= 1.0:
                 self.limit += 1.0  # slow start (RFC 5681, 3.1): twice as much with each turn of the flight
-            self._press(server, cls, sent, took, PRESSURE_AIM)
-            weight = max(CLASS_SMOOTHING, 1.0 / (self.seen[cls] + 1))
-            self.seen[cls] += 1
-            self.deviation[cls] += weight * (abs(took - base) - self.deviation[cls])
-            self.base[cls] = base + weight * (took - base)
+            self._press(server, work, sent, took, PRESSURE_AIM)
+            weight = max(CLASS_SMOOTHING, 1.0 / (work.seen + 1))
+            work.seen += 1
+            work.deviation += weight * (abs(took - base) - work.deviation)
+            work.base = base + weight * (took - base)
             self._count_answer()
             server.strikes = 0.0
             server.turned = 0
@@ -841,14 +855,14 @@
         else:
             self._sample(server, max(took / base, FAILURE_SAMPLE, server.rel))
             if status is Status.TIMEOUT and server.last_ok > sent and not (lost or pressed):
-                self._press(server, cls, sent, took, PRESSURE_DOUBT)
+                self._press(server, work, sent, took, PRESSURE_DOUBT)
             if status is not Status.TIMEOUT:
                 self._strike(server, 1.0, EJECT_SHARE)
             elif server.last_ok <= sent:
                 self._strike(server, 1.0, EJECT_SHARE_ON_SILENCE)
             else:
                 # The server lives, so all may be slow: let the yardstick follow, or time-outs multiply.
-                self.base[cls] += CLASS_SMOOTHING * max(0.0, took - base)
+                work.base += CLASS_SMOOTHING * max(0.0, took - base)
 
     def _sample(self, server: Server, rel: float) -> None:
         fresh = 1.0 - 0.5 ** ((self.now - server.heard) / (SMOOTHING_SPAN * self.shortest))
@@ -879,7 +893,7 @@
         elif not silent:
             if key not in server.lost:
                 # Late news is no use: count it while it waits.
-                self._press(server, req.cls, sent, self.now - sent, PRESSURE_DOUBT)
+                self._press(server, req.work, sent, self.now - sent, PRESSURE_DOUBT)
                 server.pressed.add(key)
         else:  # one long piece of work must not condemn a server by itself
             self._strike(server, HINT_STRIKE, EJECT_SHARE_ON_SILENCE)
@@ -897,13 +911,12 @@
         """
         gone: list[tuple[int, int]] = []
         for key, out in server.out.items():
-            if out[0] >= sent:
+            if out.sent >= sent:
                 break
-            out[2] += 1
-            if out[2] >= LOST_OVERTAKEN and key not in server.lost:
-                usual = self.base[out[1]] * max(server.rel, 1.0)
-                if self.now - out[0] >= LOST_AT_LEAST * usual:
-                    gone.append(key)
+            out.overtaken += 1
+            late = self.now - out.sent >= LOST_AT_LEAST * (out.work.base * max(server.rel, 1.0))
+            if late and out.overtaken >= LOST_OVERTAKEN and key not in server.lost:
+                gone.append(key)
         for key in gone:
             self._write_off(server, key)
 
@@ -927,7 +940,7 @@
         if self.settings.second_copies:
             self._plan_repeat(req)
         elif self.settings.can_cancel:
-            self.actions.append(Cancel(req.id, number))  # only one may be out: its end plans the repeat
+            self.actions.append(api.Cancel(req.id, number))  # only one may be out: its end plans the repeat
 
     def _strike(self, server: Server, weight: float, share: float) -> None:
         """Count a failure or an overdue attempt, and eject while at most this share would be out."""
@@ -1033,7 +1046,7 @@
             return 1.0
         return max(start + (1.0 - start) * max(age, 0) / warm, 0.01)
 
-    def _cold_allows(self, server: Server, cls: int, take: bool) -> bool:
+    def _cold_allows(self, server: Server, work: Work, take: bool) -> bool:
         """Pace to a cold server: its ramp's part of a fair share of the own traffic.
 
         Guards against pushing over a starting server: with every sidecar doing so, it gets at most
@@ -1054,38 +1067,38 @@
         if not server.cold_at:
             # Part of a first token each: from none at all, hundreds of sidecars with little traffic would
             # leave a restarted server idle until all of them had saved up for it.
-            least = min(self._cost(number) for number in range(len(self.usual)))
+            least = min(self._cost(other) for other in self.live)
             server.cold_tokens = self.random.random() * least
         else:
             earned = pace * (self.now - server.cold_at) / SECOND
             server.cold_tokens = min(limit, server.cold_tokens + earned)
         server.cold_at = self.now
-        cost = self._cost(cls)
+        cost = self._cost(work)
         if take:
             server.cold_tokens -= cost
             return True
         return server.cold_tokens >= min(cost, limit)
 
-    def _cost(self, cls: int) -> float:
+    def _cost(self, work: Work) -> float:
         """The work of a class against the mean of the classes, by its usual latency."""
-        return self.usual[cls] * len(self.usual) / sum(self.usual)
+        return work.usual * len(self.live) / sum(other.usual for other in self.live)
 
     # Admission
 
-    def _value(self, event: Request, req: Open) -> float:
+    def _value(self, event: api.Request, req: Open) -> float:
         """The part of its worth that a request can still be expected to earn.
 
         Aim and deadline of a class run from the client's first try, and a later try is cut short at that
         deadline: so a short try tells its age. Guards against overload in which the work that is let
         through is mostly such that it comes too late anyway.
         """
-        spec = req.spec
+        spec, work = req.spec, req.work
         left = event.deadline_ns - self.now
-        usual = self.usual[event.cls]
+        usual = work.usual
         if not event.is_retry:
-            self._vote_span(event.cls, left)
-        span = self.try_span[event.cls]
-        if left < span - 2 * self.settings.tick_ns and self.try_votes[event.cls] >= TRY_SURE:
+            self._vote_span(work, left)
+        span = work.try_span
+        if left < span - 2 * self.settings.tick_ns and work.try_votes >= TRY_SURE:
             req.age = spec.deadline_ns - left
             in_time = _part(spec.objective_ns - req.age, usual)
         elif event.is_retry and spec.deadline_ns > span:
@@ -1095,18 +1108,18 @@
             in_time = 1.0
         return max((in_time + (1.0 - in_time) * spec.late_worth) * _part(left, usual), VALUE_LEAST)
 
-    def _vote_span(self, cls: int, left: int) -> None:
+    def _vote_span(self, work: Work, left: int) -> None:
         """Learn the wait that first tries state as the one of a majority (Boyer and Moore, 1981).
 
         Guards against clients that don't mark later tries and may wait longer for these: by the longest
         wait all their first tries looked old, were refused, and came again with that longest wait.
         """
-        if abs(left - self.try_span[cls]) <= 2 * self.settings.tick_ns:
-            self.try_votes[cls] = min(self.try_votes[cls] + 1, TRY_MOST)
-        elif self.try_votes[cls]:
-            self.try_votes[cls] -= 1
+        if abs(left - work.try_span) <= 2 * self.settings.tick_ns:
+            work.try_votes = min(work.try_votes + 1, TRY_MOST)
+        elif work.try_votes:
+            work.try_votes -= 1
         else:
-            self.try_span[cls] = left
+            work.try_span = left
 
     def _admit(self, req: Open, value: float) -> bool:
         """Refuse early what would make the requests in flight outgrow what is answered in time.
@@ -1116,14 +1129,14 @@
         """
         if self.now - self.limit_at >= self.limit_every:
             self._correct_limit()
-        share = self.share_of[req.cls]
+        share = req.work.share
         if self.over_share and self.random.random() < self.over_share[req.tenant]:
             share = LIMIT_CHEAP + (share - LIMIT_CHEAP) * self.settings.over_share_worth
         limit = self.limit * share * value
         if self.sees_little and limit < 1.0 and not self.inflight:
             # Guards against a thousand sidecars with a request each now and then, whom no limit of one
             # holds back: of what they would keep in flight at the wanted latency a part is let in.
-            natural = self.demand * self._unit(req.cls) / SECOND
+            natural = self.demand * self._unit(req.work) / SECOND
             if self.random.random() < max(limit / natural, 2.0 - self.pressure, LIMIT_RARE):
                 return True
         elif self.inflight + 1 <= max(limit, 1.0):
@@ -1171,11 +1184,11 @@
         # Every sidecar keeps its part of a floor, so that all together leave a tired fleet nearly idle.
         least = LIMIT_LEAST * self.ready_count / self.settings.fleet_size
         self.limit = max(limit, least, 0.0 if self.sees_little else 1.0)
-        densities = [self._density(cls) for cls in range(len(self.usual))]
-        top = max(densities) or 1.0  # classes may all be worth nothing
+        top = max(self._density(work) for work in self.live) or 1.0  # classes may all be worth nothing
         # What is shed first is soon the worst-served class, which the goal may weigh by itself.
         cheap = LIMIT_CHEAP + (1.0 - LIMIT_CHEAP) * min(LIMIT_LEVEL * self.settings.goal_worst_class, 1.0)
-        self.share_of = [cheap + (1.0 - cheap) * density / top for density in densities]
+        for work in self.live:
+            work.share = cheap + (1.0 - cheap) * self._density(work) / top
 
     # Fairness: what a tenant asks beyond its share is the first to be shed
 
@@ -1193,7 +1206,7 @@
         self.asked = [0.0] * len(self.asked)
         if self.settings.can_tell and self.settings.fleet_size > 1:
             told = [min(int(ask * RATE_UNIT), 0xFFFFFFFF) for ask in self.asks]
-            self.actions.append(Tell(self.rates.pack(*told)))
+            self.actions.append(api.Tell(self.rates.pack(*told)))
         self._judge_shares()
 
     def _judge_shares(self) -> None:
@@ -1215,34 +1228,33 @@
             for ask, tenant in zip(asks, tenants, strict=True)
         ]
 
-    def _density(self, cls: int) -> float:
+    def _density(self, work: Work) -> float:
         """Worth for the server time it takes."""
-        worth = self.settings.classes[cls].worth
-        return worth if self.settings.worth_by_work else worth / self.usual[cls]
+        return work.spec.worth if self.settings.worth_by_work else work.spec.worth / work.usual
 
-    def _unit(self, cls: int, part: float = PRESSURE_AIM) -> float:
+    def _unit(self, work: Work, part: float = PRESSURE_AIM) -> float:
         """The latency of a class at which pressure is 1."""
-        aim = self.settings.classes[cls].objective_ns
-        usual = PRESSURE_USUAL * self.usual[cls]
+        aim = work.spec.objective_ns
+        usual = PRESSURE_USUAL * work.usual
         if usual <= part * aim:
             return part * aim
         return min(usual, PRESSURE_AIM_MOST * aim)
 
-    def _learn_usual(self, cls: int, took: int) -> None:
-        known = self.seen[cls]
+    def _learn_usual(self, work: Work, took: int) -> None:
+        known = work.seen
         if known < USUAL_FIRST:
             step = 1.0 / (known + 1)
         else:
-            step = min((self.now - self.usual_at[cls]) / (USUAL_SPAN * self.shortest), 0.1)
+            step = min((self.now - work.usual_at) / (USUAL_SPAN * self.shortest), 0.1)
             if self.pressure >= 1.0 or self.now - self.cut_at < self.shortest:
                 step *= USUAL_DRIFT
-        self.usual_at[cls] = self.now
-        self.usual[cls] += step * (took - self.usual[cls])
+        work.usual_at = self.now
+        work.usual += step * (took - work.usual)
 
-    def _press(self, server: Server, cls: int, sent: int, latency: float, part: float) -> None:
+    def _press(self, server: Server, work: Work, sent: int, latency: float, part: float) -> None:
         """Take one attempt's latency into the pressure, a mean that fades with time to its prior."""
         if not server.ejected:
-            self._add_pressure(latency / self._unit(cls, part), sent)
+            self._add_pressure(latency / self._unit(work, part), sent)
 
     def _add_pressure(self, value: float, sent: int) -> None:
         """Guards the limit against being cut again for a flight that it has been cut for already."""
@@ -1265,7 +1277,7 @@
 
     # The server list
 
-    def _on_membership(self, event: Membership) -> None:
+    def _on_membership(self, event: api.Membership) -> None:
         if event.kind is ListKind.CACHED:
             if self.settings.must_ask:
                 # Restarted sidecars must not all ask at once.
@@ -1311,12 +1323,8 @@
         self.watch_fails += 1
         self._at(self.now + int(span * self.random.uniform(WATCH_LEAST, 1.0)) + 1, WATCH)
 
-    def _watch(self) -> None:
-        if not self.watching:
-            self.actions.append(Watch(True))
-
     def _log(self, text: str) -> None:
         """One line a second at most: the report keeps only a few hundred."""
         if self.now >= self.log_at:
             self.log_at = self.now + SECOND
-            self.actions.append(Log(text))
+            self.actions.append(api.Log(text))
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -143,23 +143,30 @@
             self.deadlines.start(self, after_s, self.held.pool.monotonic())
 
     def upload_begins(self) -> None:
-        self._flows()
+        held = self.held
+        held.pool.post(api.StreamStarted(held.id, self.number, self.server, 0, Status.MOOT))
+        if held.call.upload is not None and held.call.upload.ended:
+            self.body_sent()
 
-    def _flows(self) -> None:
-        """Tell the module that nothing more may be sent for this request."""
-        pool = self.held.pool
-        took = pool.now() - self.sent_ns
-        pool.post(api.StreamStarted(self.held.id, self.number, self.server, took))
+    def body_sent(self) -> None:
+        """The body that flowed has come whole: its server has the turn."""
+        self.held.pool.post(api.BodySent(self.held.id, self.number, self.server))
 
-    def begin_answer(self, code: int, headers: list[tuple[bytes, bytes]], length: int | None) -> bool:
+    def begin_answer(
+        self, code: int, headers: list[tuple[bytes, bytes]], length: int | None, load: bytes
+    ) -> bool:
         held = self.held
         if not held.owed or held.answering:
             return False
         held.answering = held.asker.begin_answer(held.call, code, _lines(headers), length, self)
         if held.answering:
-            self.answered_ns = held.pool.now()
-            held.pool.deadlines.stop(held)  # whose answer has begun in time
-            self._flows()
+            pool, self.answered_ns = held.pool, held.pool.now()
+            pool.deadlines.stop(held)  # whose answer has begun in time
+            took = self.answered_ns - max(
+                self.sent_ns, self.upload.whole_ns if self.upload is not None else 0
+            )
+            report = pool.reports.read(load) if load and pool.reports.columns else ()
+            pool.post(api.StreamStarted(held.id, self.number, self.server, max(took, 0), Status.OK, report))
         return held.answering
 
     def answer_piece(self, data: bytes) -> None:
@@ -397,6 +404,8 @@
             attempt = self.attempts.get((held.id, number))
             if attempt is not None:
                 attempt.limit(max(call.wait_ns - ATTEMPT_MARGIN_NS, MS) / SECOND)
+                if call.upload.begun:
+                    attempt.body_sent()
 
     def guard(self, held: Held) -> None:
         """Time is up: whatever the module still plans, the client gets its answer now."""
@@ -540,9 +549,8 @@
                 held.error = answer
         if held.owed and (held.answering or (upload is not None and upload.begun)):
             self._end_stream(held, status)
-        took = self.now() - attempt.sent_ns
-        if attempt.answered_ns or upload is not None:
-            status, took = self._without_client(attempt, status)
+        # A body that flowed was its client's pace until it was whole.
+        took = self.now() - max(attempt.sent_ns, upload.whole_ns if upload is not None else 0)
         self.post(api.Outcome(held.id, attempt.number, attempt.server, status, took, not held.owed, report))
         if self.gone is not None:
             self.loop.call_soon(self._leave_if_done)
@@ -578,22 +586,6 @@
         else:
             self._finish(held, 502, b"", b"failed\n")
 
-    def _without_client(self, attempt: Attempt, status: Status) -> tuple[Status, int]:
-        """What the end of a streamed attempt says of its server, and how long that took.
-
-        Guards the estimates against the pace of clients: one that sends or reads slowly is no server's fault.
-        """
-        now, upload = self.now(), attempt.upload
-        if attempt.answered_ns:
-            slow_reader = status in (Status.TIMEOUT, Status.CANCELLED)
-            began = max(attempt.sent_ns, upload.whole_ns if upload is not None else 0)
-            return Status.OK if slow_reader else status, max(attempt.answered_ns - began, 0)
-        if upload is None or not upload.begun:
-            return status, now - attempt.sent_ns
-        if not upload.ended and (upload.problem is not None or status is Status.TIMEOUT):
-            return Status.CANCELLED, now - attempt.sent_ns
-        return status, now - max(attempt.sent_ns, upload.whole_ns)
-
     def _cancel(self, action: api.Cancel) -> None:
         attempt = self.attempts.get((action.id, action.attempt))
         if attempt is None:
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -116,7 +116,9 @@
     def upload_begins(self) -> None:
         """Its body has begun to flow: it can't be sent again."""
 
-    def begin_answer(self, code: int, headers: list[tuple[bytes, bytes]], length: int | None) -> bool:
+    def begin_answer(
+        self, code: int, headers: list[tuple[bytes, bytes]], length: int | None, load: bytes
+    ) -> bool:
         """An answer begins that is too long to be held; whether its pieces are wanted as they come."""
         return False
 
@@ -421,7 +423,7 @@
         # A failure is the module's to judge, and a request that never ran may go elsewhere.
         if code >= 500 or (length or 0) > exchange.stream_most:
             return False
-        if not exchange.begin_answer(code, self.headers, length):
+        if not exchange.begin_answer(code, self.headers, length, self.load):
             return False
         if self.stalled is not None:
             self.stalled.cancel()
--- a/tests/routing/test_streams.py
+++ b/tests/routing/test_streams.py
@@ -248,7 +248,7 @@
 class HeldUp(Exchange):
     """Its client takes no more as the last piece comes."""
 
-    def begin_answer(self, code, headers, length):
+    def begin_answer(self, code, headers, length, load):
         self.got = 0
         return True
 
--- a/tests/test_little.py
+++ b/tests/test_little.py
@@ -138,7 +138,7 @@
     now, _ = trickle(balancer, now, range(30), lambda server: 20 * MS)
     now += SECOND
     balancer.settings.price_probe = more["price_probe"] / 100
-    balancer.base[0] = 500 * MS
+    balancer.works[0].base = 500 * MS
     actions = balancer.handle(now, request(99, now))
     return balancer, now, kinds(actions, Probe), kinds(actions, Send)
 
@@ -172,7 +172,7 @@
     assert not crowded(report_columns=())[2]
     assert not crowded(price_probe=1000.0)[2]
     quick, now, _, _ = crowded()
-    quick.base[0] = 20 * MS
+    quick.works[0].base = 20 * MS
     assert not kinds(quick.handle(now + SECOND, request(100, now + SECOND)), Probe)
 
 
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -108,5 +108,5 @@
     balancer, now = make(servers=4, effect=Effect.SAFE)
     crowd(balancer, now, 16, 40 * MS, now + 500 * MS)
     rate = 16 / 0.040
-    settled = rate * balancer._unit(0) / SECOND
+    settled = rate * balancer._unit(balancer.works[0]) / SECOND
     assert balancer.wanted_inflight > 0.7 * settled
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -111,9 +111,9 @@
 def test_the_usual_latency_is_not_learned_from_a_collapse(feed):
     """Incident i545f60: it followed the collapse and the limit never bound."""
     feed.run(5, 300, fast)
-    before = feed.balancer.usual[0]
+    before = feed.balancer.works[0].usual
     feed.run(8, 300, late)
-    assert feed.balancer.usual[0] < 3 * before
+    assert feed.balancer.works[0].usual < 3 * before
 
 
 def test_the_limit_does_not_leap_after_a_cut(feed):
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -207,7 +207,7 @@
 
 def broken_send_gate(monkeypatch):
     def only_list_and_pace(self, req, server):
-        return server.listed and server.ready and self._cold_allows(server, req.cls, False)
+        return server.listed and server.ready and self._cold_allows(server, req.work, False)
 
     monkeypatch.setattr(Balancer, "_may_send", only_list_and_pace)
 
@@ -234,11 +234,11 @@
 
 
 def broken_answers(monkeypatch):
-    monkeypatch.setattr(Balancer, "_give_up", lambda self, req: None)
+    monkeypatch.setattr(Balancer, "_end", lambda self, req: None)
 
 
 def broken_pace(monkeypatch):
-    monkeypatch.setattr(Balancer, "_cold_allows", lambda self, server, cls, take: True)
+    monkeypatch.setattr(Balancer, "_cold_allows", lambda self, server, work, take: True)
     monkeypatch.setattr(Balancer, "_slowness", lambda self, server: 1e-3 if server.started else 1.0)
 
 
--- a/tests/test_turned_away.py
+++ b/tests/test_turned_away.py
@@ -3,12 +3,14 @@
 from helpers import MS, SECOND, make, send_one, serve
 
 from dykefold.interface import Outcome, Status
+from dykefold.logic import Flight
 
 
 def hear(balancer, now, server, status):
     """An attempt at this server ends so, 5 ms after it was sent."""
     known = balancer.servers[server]
-    balancer._learn(known, now - 5 * MS, 0, Outcome(9, 0, server, status, 5 * MS, True), False, False)
+    flight = Flight(now - 5 * MS, balancer.works[0])
+    balancer._learn(known, flight, Outcome(9, 0, server, status, 5 * MS, True), False, False)
 
 
 def full(balancer, now, server, times):
