Take new settings at SIGHUP: classes by generations, whole or not at all

Change: dykefold/configuration.py reads and checks with all errors at once, and names the keys that a later file leaves out; numbers and texts are told apart; deadlines and attempts must be above 0. dykefold/control/generations.py gives classes numbers that keep their meaning while a request may hold them. The platform's dialect stands in net/dialect.py; for 4 s what does not fit new settings is read by those before.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -4,32 +4,25 @@
 
 import asyncio
 import gc
-import json
 import logging
 import os
 import random
-import resource
 import signal
 import socket
 import sys
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import uvloop
 
-from .admission.addresses import Caps
 from .admission.listener import Listener
+from .configuration import Config, ConfigError, read_config, read_service_file, system_limit
 from .control.board import Files
 from .control.door import DESCRIPTORS as DOOR_DESCRIPTORS
 from .control.door import Door
 from .control.operator import Operator
 from .control.upgrade import Upgrade
-from .interface import Settings
-from .net.discovery import ListError, Names, News, read_news, split_address
 from .net.engine import Engine
-from .net.limits import MB
 from .net.peers import Address, Peers
-from .settings import Transport, nested_settings, nested_transport
 
 if TYPE_CHECKING:
     from .operators import Service
@@ -39,98 +32,6 @@
 log = logging.getLogger("dykefold")
 
 BACKLOG = 512
-SOCKETS = 1024  # where the configuration names no limit
-MEMORY_MB = 192  # likewise
-
-
-class ConfigError(Exception):
-    """The sidecar can't start; the text says why, and `code` is what the process ends with."""
-
-    def __init__(self, text: str, code: int = 1) -> None:
-        super().__init__(text)
-        self.code = code
-
-
-@dataclass(slots=True)
-class Config:
-    name: str
-    listen: Address
-    control: Address | None
-    discovery: Address
-    seed: int
-    sockets: int
-    memory: int
-    peer_listen: Address | None
-    peers: list[Address]
-    peers_all: Address | None
-    settings: Settings
-    transport: Transport
-    names: Names
-    known: News
-    caps: Caps
-
-
-def _system_limit() -> int:
-    """Descriptors that the system lets this process hold; it may be changed while running."""
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return SOCKETS if soft == resource.RLIM_INFINITY else soft
-
-
-def read_config(path: str | None, service: str | None = None) -> Config:
-    """Read the platform's configuration and, where one is named, the operator's file."""
-    if not path:
-        raise ConfigError("GW_CONFIG is not set")
-    caps = _read_caps(service)
-    try:
-        with open(path, encoding="utf-8") as file:
-            data = json.load(file)
-        settings = nested_settings(data["settings"])
-        transport = nested_transport(data["settings"])
-        names = Names(settings.zones, transport.kinds)
-        limits = data.get("limits", {})
-        control = data.get("control") or os.environ.get("GW_CONTROL")
-        return Config(
-            name=str(data["name"]),
-            listen=split_address(data["listen"], least_port=0),
-            control=split_address(control, least_port=0) if control else None,
-            discovery=split_address(data["discovery"]),
-            seed=int(data["seed"], 16),
-            sockets=min(int(limits.get("sockets", SOCKETS)), SOCKETS, _system_limit()),
-            memory=int(limits.get("memory_mb", MEMORY_MB) * MB),
-            peer_listen=split_address(data["peer_listen"]) if data.get("peer_listen") else None,
-            peers=[split_address(peer) for peer in data.get("peers", [])],
-            peers_all=split_address(data["peers_all"]) if data.get("peers_all") else None,
-            settings=settings,
-            transport=transport,
-            names=names,
-            known=read_news(data["known"], names),
-            caps=caps,
-        )
-    except KeyError as error:
-        raise ConfigError(f"{path}: {error} is missing") from None
-    except ListError as error:
-        raise ConfigError(f"{path}: known is unreadable: {error}") from None
-    except (OSError, ValueError, TypeError, AttributeError, RecursionError) as error:
-        raise ConfigError(f"{path}: {' '.join(str(error).split())}") from None
-
-
-def _read_caps(service: str | None) -> Caps:
-    if not service:
-        return Caps()
-    read = _read_service(service)
-    if read.plan is not None:
-        text = f"{service}: pools and routes are for `serve`; beside the platform's file they have no meaning"
-        raise ConfigError(text, code=2)
-    return read.caps
-
-
-def _read_service(path: str) -> Service:
-    from .operators import ServiceError, read_service  # not part of the platform's sidecar
-
-    try:
-        return read_service(path)
-    except ServiceError as error:
-        raise ConfigError("\n".join(error.lines()), code=2) from None
 
 
 def start_engine(loop: asyncio.AbstractEventLoop, config: Config) -> Engine:
@@ -142,16 +43,31 @@
     return engine
 
 
-def reload(engine: Engine, path: str | None, service: str | None = None) -> None:
-    """Reread the configuration: discovery and limits may differ. What can't be read changes nothing."""
-    try:
-        config = read_config(path, service)
-    except ConfigError as error:
-        log.warning("the configuration stays as it was: %s", error)
-        return
-    engine.limit(config.sockets, config.caps)
-    if engine.pool.discovery is not None:
-        engine.pool.discovery.turn(config.discovery)
+class Reload:
+    """Applies the platform's file again, whole or not at all."""
+
+    def __init__(self, engine: Engine, config: Config, path: str | None, service: str | None) -> None:
+        self.engine = engine
+        self.config = config  # what the process runs by
+        self.path = path
+        self.service = service
+
+    def __call__(self) -> None:
+        engine = self.engine
+        try:
+            config = read_config(self.path, self.service, self.config)
+            # First what may be turned down, so that nothing else is half applied.
+            engine.retune(config.settings, config.transport)
+        except (ConfigError, ValueError) as error:
+            log.warning("the configuration stays as it was: %s", error)
+            return
+        self.config = config
+        engine.memory_limit = config.memory
+        engine.limit(config.sockets, config.caps)
+        if engine.peers is not None:
+            engine.peers.turn(config.settings.index, config.peers, config.peers_all)
+        if engine.pool.discovery is not None:
+            engine.pool.discovery.turn(config.discovery)
 
 
 async def run(config: Config, path: str | None, service: str | None) -> None:
@@ -168,7 +84,7 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, end)
-    loop.add_signal_handler(signal.SIGHUP, reload, engine, path, service)
+    loop.add_signal_handler(signal.SIGHUP, Reload(engine, config, path, service))
     door = None
     try:
         if config.control is not None:
@@ -234,10 +150,10 @@
     from .routing.services import Services  # not part of the platform's sidecar
 
     loop = asyncio.get_running_loop()
-    engine = Engine(loop, min(plan.sockets, _system_limit()), plan.memory_bytes, service.caps)
+    engine = Engine(loop, min(plan.sockets, system_limit()), plan.memory_bytes, service.caps)
     services = Services(engine, lambda: random.getrandbits(63))
     try:
-        services.apply(plan, min(plan.sockets, _system_limit()), service.caps)
+        services.apply(plan, min(plan.sockets, system_limit()), service.caps)
     except ValueError as error:
         raise ConfigError(f"{path}: {error}", code=2) from None
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -253,10 +169,10 @@
 def reload_services(services: Services, path: str) -> None:
     """Read an operator's file again. What can't be read or carried out changes nothing."""
     try:
-        read = _read_service(path)
+        read = read_service_file(path)
         if read.plan is None:
             raise ConfigError(f"{path}: pools: missing")
-        services.apply(read.plan, min(read.plan.sockets, _system_limit()), read.caps)
+        services.apply(read.plan, min(read.plan.sockets, system_limit()), read.caps)
     except (ConfigError, ValueError) as error:
         log.warning("the services stay as they were: %s", error)
         return
@@ -265,7 +181,7 @@
 def check(path: str) -> int:
     """Check an operator's file: all that is wrong with it, and exit code 2 if anything is."""
     try:
-        _read_service(path)
+        read_service_file(path)
     except ConfigError as error:
         print(error, file=sys.stderr)
         return error.code
@@ -301,7 +217,7 @@
 def serve_file(path: str) -> None:
     """Serve an operator's file until a planned end; ConfigError if it can't be."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens
-    service = _read_service(path)
+    service = read_service_file(path)
     if service.plan is None:
         raise ConfigError(f"{path}: pools: missing; expected at least one table [pools.NAME]", code=2)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/dykefold/admission/clients.py
+++ b/dykefold/admission/clients.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import Protocol
+from typing import Any, Protocol
 
 from ..system import SYSTEM, System
 from .addresses import Caps
@@ -45,6 +45,10 @@
         """Whether it can be closed without harm."""
         ...
 
+    def calls(self) -> list[Any]:
+        """The requests of it that are not over."""
+        ...
+
     def close(self) -> None: ...
 
     def expire(self) -> None: ...
--- /dev/null
+++ b/dykefold/configuration.py
@@ -0,0 +1,235 @@
+"""The platform's configuration of a sidecar: read, checked whole, and only then used.
+
+Three steps, so that a file which is bad in any way changes nothing: `read_config` reads and checks, with all
+that is wrong at once; `lacking` tells what a later file leaves out that the first one had; applying it is the
+caller's.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from .admission.addresses import Caps
+from .interface import Settings
+from .net.discovery import Names, News, read_news, split_address
+from .net.limits import MB
+from .net.peers import Address
+from .settings import Transport, nested_settings, nested_transport
+
+if TYPE_CHECKING:
+    from .operators import Service
+
+SOCKETS = 1024  # where the configuration names no limit
+MEMORY_MB = 192  # likewise
+
+T = TypeVar("T")
+
+
+class ConfigError(Exception):
+    """The sidecar can't start; the text says why, and `code` is what the process ends with."""
+
+    def __init__(self, text: str, code: int = 1) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+@dataclass(slots=True)
+class Config:
+    """What a sidecar is told.
+
+    Attributes:
+        control: where operators call; None where there is no door.
+        shape: the keys of the file, for `lacking`.
+    """
+
+    name: str
+    listen: Address
+    control: Address | None
+    discovery: Address
+    seed: int
+    sockets: int
+    memory: int
+    peer_listen: Address | None
+    peers: list[Address]
+    peers_all: Address | None
+    settings: Settings
+    transport: Transport
+    names: Names
+    known: News
+    caps: Caps
+    shape: Shape
+
+
+# The keys of a JSON value: of an object with those of its values; of a list, those that all its objects have.
+Shape = dict[str, Any] | list[Any] | None
+
+
+def shape_of(value: object) -> Shape:
+    """The keys of a JSON value."""
+    if isinstance(value, dict):
+        return {key: shape_of(inner) for key, inner in value.items()}
+    if isinstance(value, list):
+        objects = [inner for inner in value if isinstance(inner, dict)]
+        common = set.intersection(*(set(inner) for inner in objects)) if objects else set()
+        return [{key: shape_of(objects[0][key]) for key in sorted(common)}]
+    return None
+
+
+def lacking(shape: Shape, value: object, at: str = "") -> list[str]:
+    """Paths of the keys that a shape has and a JSON value leaves out.
+
+    An object in a list lacks what all objects of that list had, such as each class of the settings.
+    """
+    found: list[str] = []
+    if isinstance(shape, dict) and isinstance(value, dict):
+        for key, inner in shape.items():
+            path = f"{at}.{key}" if at else key
+            found += lacking(inner, value[key], path) if key in value else [path]
+    elif isinstance(shape, list) and isinstance(value, list):
+        for number, inner in enumerate(value):
+            if isinstance(inner, dict):
+                found += lacking(shape[0], inner, f"{at}.{number}")
+    return found
+
+
+def system_limit() -> int:
+    """Descriptors that the system lets this process hold; it may be changed while running."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return SOCKETS if soft == resource.RLIM_INFINITY else soft
+
+
+def read_config(path: str | None, service: str | None = None, before: Config | None = None) -> Config:
+    """Read the platform's configuration and, where one is named, the operator's file.
+
+    Args:
+        before: what the process runs by, where it does: the file must have all keys that this had.
+
+    Raises:
+        ConfigError: with all that is wrong.
+    """
+    if not path:
+        raise ConfigError("GW_CONFIG is not set")
+    caps = _read_caps(service)
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = json.load(file)
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigError(f"{path}: {_words(error)}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"{path}: no JSON object")
+    checked = _Checked(data)
+    config = _check(checked, caps)
+    if before is not None:
+        checked.problems += [f"{key} is missing" for key in lacking(before.shape, data)]
+    if checked.problems:
+        raise ConfigError(f"{path}: {'; '.join(dict.fromkeys(checked.problems))}")
+    return config
+
+
+class _Checked:
+    """The values of a configuration. What is wrong is noted, and read as the harmless value given."""
+
+    def __init__(self, data: Mapping[str, Any]) -> None:
+        self.data = data
+        self.problems: list[str] = []
+
+    def need(self, key: str, read: Callable[[Any], T], harmless: T) -> T:
+        """The value of a key that must be there."""
+        if key not in self.data:
+            self.problems.append(f"{key} is missing")
+            return harmless
+        return self.read(key, read, harmless)
+
+    def read(self, key: str, read: Callable[[Any], T], default: T) -> T:
+        """The value of a key that may be left out, or be empty."""
+        value = self.data.get(key)
+        if value is None and key not in self.data:
+            return default
+        try:
+            return read(value)
+        except (ValueError, TypeError, AttributeError, KeyError, OverflowError, RecursionError) as error:
+            self.problems.append(f"{key}: {_words(error)}")
+            return default
+
+
+def _words(error: Exception) -> str:
+    return " ".join(str(error).split())
+
+
+def _check(checked: _Checked, caps: Caps) -> Config:
+    nobody = ("0.0.0.0", 0)
+    settings = checked.need("settings", nested_settings, Settings([], [""]))
+    transport = checked.read("settings", nested_transport, Transport([], 0, 0))
+    names = Names(settings.zones, transport.kinds)
+    limits = checked.read("limits", _limits, (SOCKETS, MEMORY_MB * MB))
+    return Config(
+        name=checked.need("name", str, ""),
+        listen=checked.need("listen", _any_port, nobody),
+        control=checked.read("control", _maybe_any_port, None) or _from_environment(),
+        discovery=checked.need("discovery", split_address, nobody),
+        seed=checked.need("seed", lambda text: int(text, 16), 0),
+        sockets=min(limits[0], SOCKETS, system_limit()),
+        memory=limits[1],
+        peer_listen=checked.read("peer_listen", _maybe, None),
+        peers=checked.read("peers", lambda peers: [split_address(peer) for peer in peers], []),
+        peers_all=checked.read("peers_all", _maybe, None),
+        settings=settings,
+        transport=transport,
+        names=names,
+        known=checked.need("known", lambda known: read_news(known, names), News(0, True, [])),
+        caps=caps,
+        shape=shape_of(checked.data),
+    )
+
+
+def _any_port(text: object) -> Address:
+    return split_address(text, least_port=0)
+
+
+def _maybe(text: object) -> Address | None:
+    return split_address(text) if text else None
+
+
+def _maybe_any_port(text: object) -> Address | None:
+    return _any_port(text) if text else None
+
+
+def _from_environment() -> Address | None:
+    """The door's address where only the environment names it."""
+    try:
+        return _maybe_any_port(os.environ.get("GW_CONTROL"))
+    except ValueError as error:
+        raise ConfigError(f"GW_CONTROL: {error}") from None
+
+
+def _limits(limits: Mapping[str, Any]) -> tuple[int, int]:
+    sockets, memory_mb = limits.get("sockets", SOCKETS), limits.get("memory_mb", MEMORY_MB)
+    for name, value in (("sockets", sockets), ("memory_mb", memory_mb)):
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 1e9:
+            raise ValueError(f"{name} is no number above 0: {value!r}")
+    return int(sockets), int(memory_mb * MB)
+
+
+def _read_caps(service: str | None) -> Caps:
+    if not service:
+        return Caps()
+    read = read_service_file(service)
+    if read.plan is not None:
+        text = f"{service}: pools and routes are for `serve`; beside the platform's file they have no meaning"
+        raise ConfigError(text, code=2)
+    return read.caps
+
+
+def read_service_file(path: str) -> Service:
+    """The operator's file; ConfigError with all that is wrong with it."""
+    from .operators import ServiceError, read_service  # not part of the platform's sidecar
+
+    try:
+        return read_service(path)
+    except ServiceError as error:
+        raise ConfigError("\n".join(error.lines()), code=2) from None
--- /dev/null
+++ b/dykefold/net/dialect.py
@@ -0,0 +1,197 @@
+"""The platform's dialect of HTTP: a client's message as a request, by the settings. No I/O."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Collection
+from dataclasses import dataclass
+from functools import lru_cache
+from hashlib import blake2b
+from typing import Any
+
+import httptools
+
+from ..interface import Effect, Settings
+from .stream import Upload
+from .upstream import Manner
+
+BODY_MOST = 64 * 1024
+STREAM_MOST = 40 * 1024 * 1024  # bytes of a body or an answer that goes on as it comes
+DEADLINE = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
+DEADLINE_UNITS = {b"m": 1_000_000, b"u": 1_000}
+DEADLINES_MOST = 256  # that are remembered: clients send the same few again and again
+COST = re.compile(rb"\d{1,12}(?:\.\d{1,9})?")
+
+
+class RequestError(Exception):
+    """A request that is answered here and never reaches the module."""
+
+    def __init__(self, code: int, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+        self.keep_alive = True
+        self.head = False  # its answer has no body
+
+
+class FormError(RequestError):
+    """A request that is of no class by the settings, or not in the form that its class has."""
+
+
+@dataclass(slots=True)
+class Message:
+    """A whole message of a client, not yet understood."""
+
+    now: int  # on the clock, when its last byte was read
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]  # by lower-case name, the last where one comes more than once
+    lines: list[bytes]  # whole, as they go on
+    body: bytes
+    keep_alive: bool
+    old: bool = False  # HTTP/1.0, where it matters
+
+
+@dataclass(slots=True)
+class Call:
+    """A request as the client sent it."""
+
+    ident: bytes  # as the client named it
+    method: bytes
+    target: bytes
+    headers: list[bytes]  # whole lines, as they go on
+    body: bytes
+    cls: int
+    tenant: int
+    key: int
+    deadline_ns: int  # on the clock
+    wait_ns: int  # that the client will wait, from the last byte of its request
+    cost_ns: int
+    is_retry: bool
+    keep_alive: bool
+    size: int = 0  # of what is held of it
+    ticket: int = 0  # the pool's number for it
+    pool: Any = None  # which takes it: a request keeps the one that it was read for
+    manner: Manner = Manner.PLATFORM
+    told: bytes = b""  # header lines of its answer, whatever that is
+    body_most: int = BODY_MOST  # bytes of a body that may come as a stream
+    answer_most: int = 0  # likewise of an answer
+    old: bool = False  # its client speaks HTTP/1.0
+    upload: Upload | None = None  # the body, where it is passed on as it comes
+
+
+@lru_cache(maxsize=DEADLINES_MOST)
+def parse_deadline(value: bytes) -> int:
+    """Nanoseconds of an X-Deadline value; RequestError if it is none."""
+    match = DEADLINE.fullmatch(value.strip())
+    if match is None:
+        raise RequestError(400, "X-Deadline is no number with a unit m or u")
+    return int(float(match[1]) * DEADLINE_UNITS[match[2]])
+
+
+class Grammar:
+    """What the settings say of requests: which classes and tenants there are."""
+
+    streams = True
+
+    def __init__(
+        self, settings: Settings, pool: object, retired: Collection[int] = (), before: Grammar | None = None
+    ) -> None:
+        """Take settings.
+
+        Args:
+            pool: of which the requests are.
+            retired: numbers of classes that requests are not read as any more.
+            before: by which a request is read that does not fit these settings, while `lingers`.
+        """
+        self.pool = pool
+        self.specs = settings.classes
+        self.classes = {spec.name.encode(): n for n, spec in enumerate(settings.classes) if n not in retired}
+        self.tenants = {tenant.name.encode(): number for number, tenant in enumerate(settings.tenants)}
+        self.before = before
+        self.until_ns = 0  # on the clock, for the one that comes after this
+
+    def lingers(self, now_ns: int, until_ns: int) -> Grammar:
+        """Let what was written for these settings still be read until then; those before may go."""
+        self.until_ns = until_ns
+        grammar = self
+        while grammar.before is not None:
+            if grammar.before.until_ns <= now_ns:
+                grammar.before = None
+                break
+            grammar = grammar.before
+        return self
+
+    def read(self, message: Message) -> Call:
+        """A request of the platform's dialect; RequestError where it is answered here."""
+        try:
+            return self._read(message)
+        except FormError:
+            if self.before is None:
+                raise
+            if message.now >= self.before.until_ns:
+                self.before = None
+                raise
+            try:
+                return self.before.read(message)
+            except RequestError:
+                pass  # what is wrong with it by the present settings is what its client can mend
+            raise
+
+    def _read(self, message: Message) -> Call:
+        headers, method, target = message.headers, message.method, message.target
+        path = target
+        if not path.startswith(b"/"):  # the absolute form, as to a proxy
+            try:
+                path = httptools.parse_url(target).path or b"/"
+            except httptools.HttpParserInvalidURLError:
+                raise RequestError(400, "the target is no path") from None
+        name = path[1:].split(b"/", 1)[0].split(b"?", 1)[0]
+        cls = self.classes.get(name)
+        if cls is None:
+            raise FormError(404, "unknown class")
+        spec = self.specs[cls]
+        if method != (b"GET" if spec.effect is Effect.SAFE else b"POST"):
+            raise FormError(405, "the method is not that of the class")
+        ident = headers.get(b"x-request-id")
+        if not ident:
+            raise RequestError(400, "X-Request-Id is missing")
+        # Guards the rule on effects: without the key no server could drop a repeat.
+        if spec.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
+            raise FormError(400, "Idempotency-Key is missing")
+        wait = spec.deadline_ns
+        if (value := headers.get(b"x-deadline")) is not None:
+            # The class's deadline covers all tries; a client that states more does not wait for it.
+            wait = min(wait, parse_deadline(value))
+        tenant = 0
+        if self.tenants and (value := headers.get(b"x-tenant")) is not None:
+            if value not in self.tenants:
+                raise RequestError(400, "unknown tenant")
+            tenant = self.tenants[value]
+        cost = 0
+        if b"x-cost-hint" in headers:
+            value = headers[b"x-cost-hint"]
+            if COST.fullmatch(value) is None:
+                raise RequestError(400, "X-Cost-Hint is no number")
+            cost = int(float(value) * 1000)
+        key = 0
+        if b"x-key" in headers and (value := headers[b"x-key"]):
+            key = int.from_bytes(blake2b(value, digest_size=8).digest(), "little")
+        return Call(
+            ident,
+            method,
+            target,
+            message.lines,
+            message.body,
+            cls,
+            tenant,
+            key,
+            message.now + wait,
+            wait,
+            cost,
+            headers.get(b"x-retry") == b"1",
+            message.keep_alive,
+            pool=self.pool,
+            body_most=STREAM_MOST,
+            answer_most=STREAM_MOST,
+            old=message.old,
+        )
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -16,14 +16,16 @@
 from ..admission.clients import Clients
 from ..admission.listener import Listener
 from ..admission.rules import Admission, Reason, Share
+from ..control.generations import LINGER_NS, Generation
 from ..interface import Settings
 from ..settings import Transport
 from ..system import SYSTEM, System
 from .backlog import Backlog
 from .clock import MS, SECOND, Clock
 from .deadlines import Deadlines
+from .dialect import Call, Grammar
 from .discovery import Names, News
-from .front import Call, Front, Grammar, Reader
+from .front import Front, Reader
 from .lag import Lag
 from .limits import Memory
 from .peers import Address, Peers
@@ -115,8 +117,29 @@
         """Give all requests to one pool, as on the platform."""
         self.pool = Pool(self, settings, transport, seed, discovery, names, known)
         self.pools[self.pool] = None
+        self.generation = Generation(settings)
         self.grammar = Grammar(settings, self.pool)
 
+    def retune(self, settings: Settings, transport: Transport) -> None:
+        """Have the one pool go by other settings, from the next request that is read on.
+
+        Raises:
+            ValueError: they can't be taken; nothing has changed then.
+        """
+        pool, now_ns = self.pool, self.now()
+        waiting = [call.cls for front in self.clients.all.values() for call in front.calls()]
+        taken = [held.call.cls for held in pool.held.values()]
+        attempts = [attempt.held.call.cls for attempt in pool.attempts.values()]
+        generation = self.generation.next(settings, {*waiting, *taken, *attempts}, now_ns)
+        if generation == self.generation:
+            return
+        log.info("classes are now %s", ", ".join(generation.numbers()))
+        self.generation = generation
+        pool.retune(generation.settings, transport, frozenset(generation.retired))
+        assert isinstance(self.grammar, Grammar)
+        before = self.grammar.lingers(now_ns, now_ns + LINGER_NS)
+        self.grammar = Grammar(generation.settings, pool, generation.retired, before)
+
     def forget(self, pool: Pool) -> None:
         """A pool has retired: nothing of it is left."""
         self.pools.pop(pool, None)
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -4,40 +4,31 @@
 
 import asyncio
 import contextlib
-import re
 import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import lru_cache
-from hashlib import blake2b
 from http import HTTPStatus
-from typing import Any, Protocol
+from typing import Protocol
 
 import httptools
 
 from ..admission.clients import Clients
 from ..admission.rules import Client
-from ..interface import Effect, Settings
 from .backlog import SLICE_BYTES, Backlog, cut
+from .dialect import BODY_MOST, Call, Message, RequestError
 from .ends import NO_LINGER
 from .lag import Lag
 from .limits import Memory
 from .stream import BUFFER_BYTES, FRAMING_MOST, Upload
 from .upstream import HOP_BY_HOP, Manner, gather
 
-BODY_MOST = 64 * 1024
 HEADERS_MOST = 32 * 1024
 HEADER_LINES_MOST = 256  # each costs some hundred bytes beside its own; the usual limit is 100
-STREAM_MOST = 40 * 1024 * 1024  # bytes of a body or an answer that goes on as it comes
 MESSAGE_MOST = 8 * BODY_MOST  # with the framing of many small chunks
 WAITING_MOST = 16  # requests that a client may send ahead of their answers before it is read no further
 SLOW_READER = 5.0  # seconds in which a client may read nothing of an answer
 LINGER = 2.0  # seconds in which a rejected client may still send, unheard, and read why
-DEADLINE = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
-DEADLINE_UNITS = {b"m": 1_000_000, b"u": 1_000}
-DEADLINES_MOST = 256  # that are remembered: clients send the same few again and again
-COST = re.compile(rb"\d{1,12}(?:\.\d{1,9})?")
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 BODILESS = frozenset((204, 304))  # answers that have no body and need no length (RFC 9110, 8.6)
 READY_TARGET = b"/-/ready"
@@ -48,58 +39,6 @@
 NOT_PASSED_ON = HOP_BY_HOP | {b"expect", b"x-deadline"}
 
 
-class RequestError(Exception):
-    """A request that is answered here and never reaches the module."""
-
-    def __init__(self, code: int, text: str) -> None:
-        super().__init__(text)
-        self.code = code
-        self.keep_alive = True
-        self.head = False  # its answer has no body
-
-
-@dataclass(slots=True)
-class Message:
-    """A whole message of a client, not yet understood."""
-
-    now: int  # on the clock, when its last byte was read
-    method: bytes
-    target: bytes
-    headers: dict[bytes, bytes]  # by lower-case name, the last where one comes more than once
-    lines: list[bytes]  # whole, as they go on
-    body: bytes
-    keep_alive: bool
-    old: bool = False  # HTTP/1.0, where it matters
-
-
-@dataclass(slots=True)
-class Call:
-    """A request as the client sent it."""
-
-    ident: bytes  # as the client named it
-    method: bytes
-    target: bytes
-    headers: list[bytes]  # whole lines, as they go on
-    body: bytes
-    cls: int
-    tenant: int
-    key: int
-    deadline_ns: int  # on the clock
-    wait_ns: int  # that the client will wait, from the last byte of its request
-    cost_ns: int
-    is_retry: bool
-    keep_alive: bool
-    size: int = 0  # of what is held of it
-    ticket: int = 0  # the pool's number for it
-    pool: Any = None  # which takes it: a request keeps the one that it was read for
-    manner: Manner = Manner.PLATFORM
-    told: bytes = b""  # header lines of its answer, whatever that is
-    body_most: int = BODY_MOST  # bytes of a body that may come as a stream
-    answer_most: int = 0  # likewise of an answer
-    old: bool = False  # its client speaks HTTP/1.0
-    upload: Upload | None = None  # the body, where it is passed on as it comes
-
-
 @dataclass(slots=True)
 class Ready:
     """A question whether this sidecar takes requests."""
@@ -107,92 +46,11 @@
     keep_alive: bool
 
 
-@lru_cache(maxsize=DEADLINES_MOST)
-def parse_deadline(value: bytes) -> int:
-    """Nanoseconds of an X-Deadline value; RequestError if it is none."""
-    match = DEADLINE.fullmatch(value.strip())
-    if match is None:
-        raise RequestError(400, "X-Deadline is no number with a unit m or u")
-    return int(float(match[1]) * DEADLINE_UNITS[match[2]])
-
-
 def _too_long(length: bytes) -> bool:
     # The first digits tell: the parser itself bounds how many there may be.
     return length.isdigit() and int(length[:12]) > BODY_MOST
 
 
-class Grammar:
-    """What the settings say of requests: which classes and tenants there are."""
-
-    streams = True
-
-    def __init__(self, settings: Settings, pool: object) -> None:
-        self.pool = pool  # of which the requests are
-        self.specs = settings.classes
-        self.classes = {spec.name.encode(): number for number, spec in enumerate(settings.classes)}
-        self.tenants = {tenant.name.encode(): number for number, tenant in enumerate(settings.tenants)}
-
-    def read(self, message: Message) -> Call:
-        """A request of the platform's dialect; RequestError where it is answered here."""
-        headers, method, target = message.headers, message.method, message.target
-        path = target
-        if not path.startswith(b"/"):  # the absolute form, as to a proxy
-            try:
-                path = httptools.parse_url(target).path or b"/"
-            except httptools.HttpParserInvalidURLError:
-                raise RequestError(400, "the target is no path") from None
-        name = path[1:].split(b"/", 1)[0].split(b"?", 1)[0]
-        cls = self.classes.get(name)
-        if cls is None:
-            raise RequestError(404, "unknown class")
-        spec = self.specs[cls]
-        if method != (b"GET" if spec.effect is Effect.SAFE else b"POST"):
-            raise RequestError(405, "the method is not that of the class")
-        ident = headers.get(b"x-request-id")
-        if not ident:
-            raise RequestError(400, "X-Request-Id is missing")
-        # Guards the rule on effects: without the key no server could drop a repeat.
-        if spec.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
-            raise RequestError(400, "Idempotency-Key is missing")
-        wait = spec.deadline_ns
-        if (value := headers.get(b"x-deadline")) is not None:
-            # The class's deadline covers all tries; a client that states more does not wait for it.
-            wait = min(wait, parse_deadline(value))
-        tenant = 0
-        if self.tenants and (value := headers.get(b"x-tenant")) is not None:
-            if value not in self.tenants:
-                raise RequestError(400, "unknown tenant")
-            tenant = self.tenants[value]
-        cost = 0
-        if b"x-cost-hint" in headers:
-            value = headers[b"x-cost-hint"]
-            if COST.fullmatch(value) is None:
-                raise RequestError(400, "X-Cost-Hint is no number")
-            cost = int(float(value) * 1000)
-        key = 0
-        if b"x-key" in headers and (value := headers[b"x-key"]):
-            key = int.from_bytes(blake2b(value, digest_size=8).digest(), "little")
-        return Call(
-            ident,
-            method,
-            target,
-            message.lines,
-            message.body,
-            cls,
-            tenant,
-            key,
-            message.now + wait,
-            wait,
-            cost,
-            headers.get(b"x-retry") == b"1",
-            message.keep_alive,
-            pool=self.pool,
-            body_most=STREAM_MOST,
-            answer_most=STREAM_MOST,
-            old=message.old,
-        )
-
-
 class Reader(Protocol):
     """What makes a request of a message, as `Grammar` does."""
 
@@ -348,6 +206,11 @@
         """Whether a request of it is open or waits, or an answer is still on its way out."""
         return self.current is not None or bool(self.waiting) or self.unread
 
+    def calls(self) -> list[Call]:
+        """The requests of it that are not over."""
+        waiting = [item for item in self.waiting if isinstance(item, Call)]
+        return waiting if self.current is None else [self.current, *waiting]
+
     # The transport's calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/dykefold/net/peers.py
+++ b/dykefold/net/peers.py
@@ -16,11 +16,15 @@
     def __init__(
         self, index: int, peers: list[Address], everyone: Address | None, heard: Callable[[int, bytes], None]
     ) -> None:
+        self.heard = heard
+        self.turn(index, peers, everyone)
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def turn(self, index: int, peers: list[Address], everyone: Address | None) -> None:
+        """Take other addresses; the own one is known by its number."""
         self.peers = peers
         self.everyone = everyone
-        self.heard = heard
         self.numbers = {address: number for number, address in enumerate(peers) if number != index}
-        self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -24,8 +24,9 @@
 from .backlog import Backlog
 from .clock import MS, SECOND, Clock
 from .deadlines import Deadlines, Limited
+from .dialect import BODY_MOST, Call
 from .discovery import Discovery, Listed, Names, News
-from .front import BODY_MOST, Call, Paced
+from .front import Paced
 from .lag import Lag
 from .limits import Memory
 from .peers import Address, Peers
@@ -190,6 +191,7 @@
         "error",
         "id",
         "may_have_run",
+        "most",
         "out",
         "owed",
         "pool",
@@ -202,6 +204,7 @@
         self.asker = asker
         self.pool = pool
         self.attempts = 0
+        self.most = pool.settings.max_attempts  # as it was taken, whatever settings say later
         self.out = 0  # of these, attempts that have not ended
         self.claims = 1  # descriptors set aside for it
         self.may_have_run = False  # some attempt has ended without a proof that it did not
@@ -362,6 +365,20 @@
         if self.home.peers is not None:
             self.home.peers.tell(action.data, action.peer)
 
+    def retune(self, settings: Settings, transport: Transport, retired: frozenset[int]) -> None:
+        """Go by other settings; what is open goes on as it was taken.
+
+        Args:
+            settings: with the classes by number, as `Generation` has them.
+            retired: numbers that no new request is of.
+        """
+        self.settings = settings
+        self.max_open = transport.max_open
+        self.reports = Reports(settings.report_columns)
+        self.probe_path = b"/-/load" if settings.report_columns else b"/-/healthy"
+        self.upstreams.retune(settings.connect_timeout_ns / SECOND or 1.0, transport.conn_idle_ns / SECOND)
+        self.post(api.Retune(settings, retired))
+
     # Requests
 
     def take(self, asker: Asker, call: Call) -> None:
@@ -496,7 +513,7 @@
         # What the module takes for late says nothing of a body that is still on its way.
         bound = action.timeout_ns > 0 and upload is None
         wait = min(action.timeout_ns, last) if bound else last
-        if held.attempts > self.settings.max_attempts or wait <= 0 or not self._claim_attempt(held):
+        if held.attempts > held.most or wait <= 0 or not self._claim_attempt(held):
             attempt.end(Status.MOOT)
             return
         attempt.payload = self._payload(held.call, held.call.wait_ns if flows else wait)
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -608,6 +608,18 @@
         self.idle: OrderedDict[Connection, None] = OrderedDict()  # of all targets, the longest idle first
         self.unneeded: dict[Connection, Exchange] = {}  # being made for one that has taken another
 
+    def retune(self, connect_timeout: float, idle_most: float) -> None:
+        """Take other times, in seconds; what was learned of idle connections stays, under the new most."""
+        self.connect_timeout = connect_timeout
+        if idle_most * IDLE_PART == self.idle_most:
+            return
+        self.idle_most = idle_most * IDLE_PART
+        ages = [self.ages, *self.kinds.values(), *(target.ages for target in self.targets.values())]
+        every: list[Spare | Ages] = [self.spare, *ages]
+        for limited in every:
+            limited.most_s = self.idle_most
+            limited.limit_s = min(limited.limit_s, self.idle_most)
+
     # The list
 
     def update(
--- a/dykefold/routing/requests.py
+++ b/dykefold/routing/requests.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from ..interface import Effect, RequestClass
-from ..net.front import Call, Grammar, Message, RequestError, parse_deadline
+from ..net.dialect import Call, Grammar, Message, RequestError, parse_deadline
 from ..net.upstream import Manner
 from .names import TargetError, split_target
 from .plan import IDEMPOTENT_METHODS, Mapping
--- a/dykefold/settings.py
+++ b/dykefold/settings.py
@@ -21,7 +21,7 @@
 
 
 class SettingError(ValueError):
-    """A required setting is missing or unreadable; the text names it."""
+    """Settings are missing or unreadable; the text names each of them."""
 
 
 @dataclass(slots=True)
@@ -43,56 +43,79 @@
     return [str(name) for name in values if name != ""]
 
 
-def _finite(raw: str) -> float:
-    value = float(raw)
-    if not math.isfinite(value):
-        raise ValueError(raw)
-    return value
-
-
 class _Pairs:
-    """Settings by their path, with errors that name it."""
+    """Settings by their path. What is wrong is noted, with its path, and read as something harmless."""
+
+    def __init__(self, values: Mapping[str, object], typed: bool) -> None:
+        """Take settings.
 
-    def __init__(self, values: Mapping[str, object]) -> None:
+        Args:
+            typed: numbers come as such, and a text that looks like one is none.
+        """
         self.values = values
+        self.numeric: tuple[type, ...] = (int, float) if typed else (int, float, str)
+        self.problems: list[str] = []
 
-    def _convert(self, key: str, kind, default):
+    def finish(self) -> None:
+        """Raise SettingError if anything was wrong."""
+        if self.problems:
+            raise SettingError("; ".join(self.problems))
+
+    def _convert(self, key: str, kind, default, harmless):
         raw = self.values.get(key)
         if raw is None:
             if default is None:
-                raise SettingError(f"setting {key} is missing")
+                self.problems.append(f"setting {key} is missing")
+                return harmless
             return default
         try:
             return kind(raw)
         except (ValueError, KeyError, TypeError, OverflowError):
-            raise SettingError(f"setting {key} is unreadable: {raw!r}") from None
+            self.problems.append(f"setting {key} is unreadable: {raw!r}")
+            return harmless
+
+    def _finite(self, raw: object) -> float:
+        if isinstance(raw, bool) or not isinstance(raw, self.numeric):
+            raise ValueError(raw)
+        value = float(raw)  # type: ignore[arg-type]  # of a type in `numeric`
+        if not math.isfinite(value):
+            raise ValueError(raw)
+        return value
+
+    def _above_zero(self, raw: object) -> int:
+        value = int(self._finite(raw))
+        if value < 1:
+            raise ValueError(raw)
+        return value
 
     def text(self, key: str, default: str | None = None) -> str:
-        return self._convert(key, str, default)
+        return self._convert(key, str, default, "")
 
     def whole(self, key: str, default: int | None = None) -> int:
-        return self._convert(key, lambda raw: int(_finite(raw)), default)
+        return self._convert(key, lambda raw: int(self._finite(raw)), default, 1)
+
+    def positive(self, key: str) -> int:
+        """A whole number above 0, which must be there."""
+        return self._convert(key, self._above_zero, None, 1)
 
     def number(self, key: str, default: float | None = None) -> float:
-        return self._convert(key, _finite, default)
+        return self._convert(key, self._finite, default, 1.0)
 
     def flag(self, key: str, default: bool | None = None) -> bool:
         return self._convert(
-            key, {"true": True, "false": False, True: True, False: False}.__getitem__, default
+            key, {"true": True, "false": False, True: True, False: False}.__getitem__, default, False
         )
 
     def choice(self, key: str, choices: dict, default=None):
-        return self._convert(key, choices.__getitem__, default)
+        return self._convert(key, choices.__getitem__, default, next(iter(choices.values())))
 
     def names(self, key: str) -> list[str]:
         """A list of plain values; the text form joins it with commas, the nested one has it as it is."""
-        return self._convert(key, _name_list, [])
+        return self._convert(key, _name_list, [], [])
 
 
 def _request_class(pairs: _Pairs, at: str) -> api.RequestClass:
-    deadline = pairs.whole(at + "deadline-ns")
-    if deadline <= 0:
-        raise SettingError(f"setting {at}deadline-ns is unreadable: no time to answer in")
+    deadline = pairs.positive(at + "deadline-ns")
     return api.RequestClass(
         name=pairs.text(at + "name", ""),
         objective_ns=pairs.whole(at + "objective-ns", deadline),
@@ -108,7 +131,7 @@
 
 def parse_settings(text: str) -> api.Settings:
     """Read the settings text; unknown keys are skipped, unreadable ones raise SettingError."""
-    return _read(_Pairs(dict(line.split("=", 1) for line in text.splitlines() if "=" in line)))
+    return _read(_Pairs(dict(line.split("=", 1) for line in text.splitlines() if "=" in line), typed=False))
 
 
 def nested_settings(nested: object) -> api.Settings:
@@ -119,11 +142,13 @@
 def nested_transport(nested: object) -> Transport:
     """Read from that object what the sockets need to know beside."""
     pairs = _pairs_of(nested)
-    return Transport(
+    transport = Transport(
         kinds=pairs.names("kinds"),
         conn_idle_ns=pairs.whole("ceilings.conn-idle-ns", 60_000_000_000),
         max_open=pairs.whole("ceilings.max-open", 20_000),
     )
+    pairs.finish()
+    return transport
 
 
 def _pairs_of(nested: object) -> _Pairs:
@@ -131,7 +156,7 @@
         raise SettingError("settings are no object")
     values: dict[str, object] = {}
     _flatten("", nested, values)
-    return _Pairs(values)
+    return _Pairs(values, typed=True)
 
 
 def _flatten(at: str, value: object, into: dict[str, object]) -> None:
@@ -148,9 +173,7 @@
 
 
 def _read(pairs: _Pairs) -> api.Settings:
-    count = pairs.whole("classes.count")
-    if count < 1:
-        raise SettingError("setting classes.count is unreadable: no class")
+    count = pairs.positive("classes.count")
     tenants = [
         api.Tenant(
             name=pairs.text(f"accounts.{n}.name", ""),
@@ -161,7 +184,7 @@
     ]
     reports = pairs.text("telemetry.how", "silent") != "silent"
     columns = tuple(canonical_column(name) for name in pairs.names("telemetry.columns"))
-    return api.Settings(
+    settings = api.Settings(
         classes=[_request_class(pairs, f"classes.{n}.") for n in range(count)],
         zones=pairs.names("dcs"),
         zone=pairs.whole("my-zone", 0),
@@ -179,7 +202,7 @@
         warm_within_ns=pairs.whole("rules.warm-within-ns", 0),
         overload_factor=pairs.number("rules.overload-factor", 3.0),
         overload_for_ns=pairs.whole("rules.overload-for-ns", 3_000_000_000),
-        max_attempts=pairs.whole("ceilings.send-cap"),
+        max_attempts=pairs.positive("ceilings.send-cap"),
         second_copies=pairs.flag("ceilings.second-copies", False),
         can_cancel=pairs.flag("ceilings.cancel", False),
         can_probe=pairs.flag("ceilings.probing", False),
@@ -195,3 +218,10 @@
         price_probe=pairs.number("prices.probe", 0.0),
         price_peer=pairs.number("prices.peer", 0.0),
     )
+    names = [spec.name for spec in settings.classes if spec.name]
+    twice = sorted({name for name in names if names.count(name) > 1})
+    pairs.problems += [f"class {name!r} comes twice" for name in twice]
+    if settings.zones and not 0 <= settings.zone < len(settings.zones):
+        pairs.problems.append(f"setting my-zone is unreadable: {settings.zone}")
+    pairs.finish()
+    return settings
--- a/tests/admission/test_listener.py
+++ b/tests/admission/test_listener.py
@@ -4,6 +4,7 @@
 import errno
 import json
 import os
+import resource
 import socket
 
 import pytest
@@ -23,7 +24,7 @@
     until,
 )
 
-from dykefold import __main__ as program
+from dykefold import configuration
 from dykefold.admission import listener
 from dykefold.admission.addresses import Caps
 from dykefold.net import upstream
@@ -113,9 +114,9 @@
             fillers = []
             before = set(os.listdir("/proc/self/fd"))
             limit = max(map(int, before)) + 2
-            soft, hard = program.resource.getrlimit(program.resource.RLIMIT_NOFILE)
+            soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
             client = socket.socket()
-            program.resource.setrlimit(program.resource.RLIMIT_NOFILE, (limit, hard))
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
             try:
                 while True:
                     fillers.append(os.open(os.devnull, os.O_RDONLY))
@@ -128,7 +129,7 @@
             finally:
                 for filler in fillers:
                     os.close(filler)
-                program.resource.setrlimit(program.resource.RLIMIT_NOFILE, (soft, hard))
+                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
                 client.close()
             assert answer.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 1\r\n" in answer
             go.set()
@@ -281,8 +282,8 @@
             def scarce(*_, **__):
                 raise OSError(errno.EMFILE, "Too many open files")
 
-            monkeypatch.setattr(program, "open", scarce, raising=False)
-            program.reload(sidecar.engine, str(tmp_path / "c"))
+            monkeypatch.setattr(configuration, "open", scarce, raising=False)
+            sidecar.reload()
             assert sidecar.engine.pool.discovery.address == before
             assert (await ask(sidecar.port, message("order", "a"))).code == 200
 
@@ -302,7 +303,7 @@
             await until(lambda: len(fake.got) == 10)
             data["limits"]["sockets"] = 52
             (tmp_path / "c").write_text(json.dumps(data))
-            program.reload(sidecar.engine, str(tmp_path / "c"))
+            sidecar.reload()
             assert len(sidecar.engine.clients.admission.sides[False].queues[1]) == 0
             for reader, _ in idle:
                 assert await reader.read() == b""
@@ -317,7 +318,7 @@
 def test_the_system_s_limit_is_read_with_the_configuration(tmp_path, monkeypatch):
     path = tmp_path / "c"
     path.write_text(json.dumps(config(news(1), limits={"sockets": 900})))
-    monkeypatch.setattr(program.resource, "getrlimit", lambda _: (300, 4096))
-    assert program.read_config(str(path)).sockets == 300
-    monkeypatch.setattr(program.resource, "getrlimit", lambda _: (program.resource.RLIM_INFINITY,) * 2)
-    assert program.read_config(str(path)).sockets == 900
+    monkeypatch.setattr(configuration.resource, "getrlimit", lambda _: (300, 4096))
+    assert configuration.read_config(str(path)).sockets == 300
+    monkeypatch.setattr(configuration.resource, "getrlimit", lambda _: (resource.RLIM_INFINITY,) * 2)
+    assert configuration.read_config(str(path)).sockets == 900
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -9,7 +9,8 @@
 
 import uvloop
 
-from dykefold.__main__ import read_config, start_engine
+from dykefold.__main__ import Reload, start_engine
+from dykefold.configuration import read_config
 
 HOST = "127.0.0.1"
 MS = 1_000_000
@@ -201,7 +202,9 @@
 
     def __init__(self, path, data):
         path.write_text(json.dumps(data))
-        self.engine = start_engine(asyncio.get_running_loop(), read_config(str(path)))
+        config = read_config(str(path))
+        self.engine = start_engine(asyncio.get_running_loop(), config)
+        self.reload = Reload(self.engine, config, str(path), None)  # as at SIGHUP
         self.port = 0
 
     async def __aenter__(self):
--- a/tests/routing/test_requests.py
+++ b/tests/routing/test_requests.py
@@ -3,7 +3,7 @@
 import pytest
 
 from dykefold.interface import Effect, RequestClass, Scope, Settings, Tenant
-from dykefold.net.front import Message, RequestError
+from dykefold.net.dialect import Message, RequestError
 from dykefold.net.upstream import Manner
 from dykefold.routing.plan import Mapping, usual_classes
 from dykefold.routing.requests import Routed, Target
--- a/tests/test_net_hostile.py
+++ b/tests/test_net_hostile.py
@@ -12,7 +12,8 @@
 from net_helpers import MS, WAIT, Sidecar, config, message, news, run, until
 
 from dykefold.net.backlog import SLICE_BYTES, SLICES_A_TURN
-from dykefold.net.front import BODY_MOST, HEADERS_MOST, Front
+from dykefold.net.dialect import BODY_MOST
+from dykefold.net.front import HEADERS_MOST, Front
 from dykefold.net.reports import Reports
 
 CALLS_A_BYTE = 1.5  # Python calls: the worst are requests of 18 bytes, with some twenty for each
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -11,8 +11,8 @@
 from dykefold.net.backlog import Backlog
 from dykefold.net.clock import Clock
 from dykefold.net.deadlines import Deadlines
+from dykefold.net.dialect import Call
 from dykefold.net.discovery import Names, read_news
-from dykefold.net.front import Call
 from dykefold.net.lag import Lag
 from dykefold.net.limits import MB, Memory
 from dykefold.net.pool import Pool
