Hand the list of servers and estimates on to the newer process

The newer process began with the list of the configuration, which is as old as the first start, while the older one had been told more. Change: lists go on by files when their version grows while both live; estimates by name when a newer process comes into view.

--- a/dykefold/control/upgrade.py
+++ b/dykefold/control/upgrade.py
@@ -11,6 +11,7 @@
 from ..net.engine import Engine
 from ..system import SYSTEM, System
 from .board import Board
+from .estimates import restore, snapshot
 from .handover import LOOK_NS, Handover, Sign, State, View
 from .maintenance import OUT_MOST, Said
 
@@ -34,6 +35,7 @@
         self.handover = Handover(f"{born_ns:020d}-{os.getpid()}", born_ns)
         self.parts = 1
         self.others: dict[str, Sign] = {}
+        self.told: list[int] = []  # versions of the lists that others can read
         self.timer: asyncio.TimerHandle | None = None
 
     # The start
@@ -43,6 +45,16 @@
         self.keep()
         while not self._look().may_serve:
             await asyncio.sleep(LOOK_S / 4)
+        older = [sign for sign in self.others.values() if sign.born_ns < self.handover.born_ns]
+        if older:
+            self._begin_with(max(older, key=lambda sign: sign.born_ns))
+
+    def _begin_with(self, older: Sign) -> None:
+        """Believe what the latest older process believed, so as not to begin blind."""
+        word = self.board.read(f"state-{older.name}") or {}
+        for pool, known in zip(self.engine.pools, word.get("pools", ()), strict=False):
+            if not restore(pool.balancer, pool.names, known):
+                log.warning("what %s knew of its servers is of no use here", older.name)
 
     def takes(self, sock: socket.socket) -> None:
         """This process takes clients on a listening socket: new ones come to it from now on."""
@@ -73,6 +85,7 @@
         now_ns = self.now_ns()
         words = self.board.read_all("sign-")
         signs = {name: sign for name, word in words.items() if (sign := read_sign(word)) is not None}
+        signs = {name: sign for name, sign in signs.items() if name == f"sign-{sign.name}"}
         for name, word in words.items():
             if name != self._file:
                 self._merge(read_said(word))
@@ -83,12 +96,40 @@
             self.parts = view.parts
             self.engine.share(view.parts)
         self.engine.handing = view.newer_takes
+        if view.arrived:
+            pools = [snapshot(pool.balancer, pool.names) for pool in self.engine.pools]
+            self.board.write(f"state-{self.handover.name}", {"pools": pools})
+        for name in self.others:
+            self._hear_lists(name, words[f"sign-{name}"])
         if now_ns - self.handover.born_ns > FORGET_NS:
-            for name, sign in signs.items():
+            for sign in signs.values():
                 if sign.name != self.handover.name and sign.beat_ns < self.handover.born_ns:
-                    self.board.remove(name)
+                    for kind in ("sign", "list", "state"):
+                        self.board.remove(f"{kind}-{sign.name}")
         return view
 
+    def _hear_lists(self, name: str, word: dict[str, Any]) -> None:
+        """Take the lists of another process that are newer: what it was told, this sidecar was told."""
+        told = word.get("lists")
+        mine = [pool.version for pool in self.engine.pools]
+        if not isinstance(told, list) or not any(a > b for a, b in zip(told, mine, strict=False)):
+            return
+        lists = (self.board.read(f"list-{name}") or {}).get("pools", ())
+        for pool, known in zip(self.engine.pools, lists, strict=False):
+            try:
+                pool.adopt_list(known)
+            except ValueError as error:
+                log.warning("the list of %s is of no use here: %s", name, error)
+
+    def _tell_lists(self) -> list[int]:
+        """Leave the lists where others may need them; their versions."""
+        versions = [pool.version for pool in self.engine.pools]
+        if self.others and versions != self.told:
+            lists = [pool.list_word() for pool in self.engine.pools]
+            if self.board.write(f"list-{self.handover.name}", {"pools": lists}):
+                self.told = versions
+        return self.told
+
     def _merge(self, said: dict[str, Said]) -> None:
         for pool in self.engine.pools:
             pool.merge_maintenance(said)
@@ -102,7 +143,8 @@
         said: dict[str, Said] = {}
         for pool in self.engine.pools:
             said |= pool.maintenance.said
-        return self.board.write(self._file, sign_word(self.handover.sign(self.now_ns()), said))
+        word = sign_word(self.handover.sign(self.now_ns()), said)
+        return self.board.write(self._file, {**word, "lists": self._tell_lists()})
 
     # The end
 
@@ -117,7 +159,8 @@
         if self.timer is not None:
             self.timer.cancel()
         if self.engine.handing:
-            self.board.remove(self._file)
+            for kind in ("sign", "list", "state"):
+                self.board.remove(f"{kind}-{self.handover.name}")
 
 
 def view_names(handover: Handover) -> set[str]:
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -453,7 +453,7 @@
             work.spec, work.try_votes = spec, 0  # the wait of its first tries may be another
             self.works[number : number + 1] = [work]
         self._take(event.settings, [w for n, w in enumerate(self.works) if n not in event.retired])
-        self._regroup()
+        self.regroup()
 
     def _on_dropped(self, event: api.Dropped) -> None:
         req = self.open.get(event.id)
@@ -956,7 +956,7 @@
         self.inflight -= server.waited_for()
         server.ejections = 0
         self._set_trial(server)
-        self._regroup()
+        self.regroup()
         self._log(f"ejected {server.id} after {server.strikes:.1f} strikes in a row")
         for ident, number in list(server.out):  # what waits there is likely lost: do not wait it out
             req = self.open.get(ident)
@@ -984,9 +984,9 @@
         server.ejected = False
         self.inflight += server.waited_for()
         server.rel = min(server.rel, FULL_SAMPLE)
-        self._regroup()
+        self.regroup()
 
-    def _regroup(self) -> None:
+    def regroup(self) -> None:
         """Rebuild the lists to sample from; only when a server changes state."""
         for server in [s for s in self.servers.values() if not s.listed and not s.out]:
             del self.servers[server.id]  # else memory grows with every server that ever was
@@ -1034,7 +1034,7 @@
         self.demand_at = self.now
         size = self._set_size()
         if size != self.set_size and min(size, self.set_size) < self.ready_count:
-            self._regroup()
+            self.regroup()
 
     # Cold servers
 
@@ -1308,7 +1308,7 @@
                 known.zone, known.cell = entry.zone, entry.cell
             self.servers[entry.server].listed = entry.state is not State.GONE
         before = len(self.near) + len(self.far)
-        self._regroup()
+        self.regroup()
         after = len(self.near) + len(self.far)
         if 0 < after < before:
             # What so many servers carried the fewer cannot: do not wait for late answers to learn it.
--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -6,9 +6,10 @@
 import json
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
+from typing import Any
 
 from ..admission.budget import CALLS, Allowance
 from ..interface import Endpoint, ListKind, Membership, State, Status
@@ -116,6 +117,29 @@
     return News(version, complete, [listed for listed, _, _ in entries])
 
 
+def write_news(version: int, entries: Iterable[Listed], names: Names) -> dict[str, Any]:
+    """A whole list in discovery's own form, as `read_news` reads it."""
+    zones = {number: name for name, number in names.zones.items()}
+    kinds = {number: name for name, number in names.kinds.items()}
+    return {
+        "index": version,
+        "snapshot": True,
+        "endpoints": [
+            {
+                "name": entry.name,
+                "address": f"{entry.address[0]}:{entry.address[1]}",
+                "zone": zones.get(entry.endpoint.zone, ""),
+                "type": kinds.get(entry.endpoint.kind, ""),
+                "group": entry.endpoint.cell,
+                "status": "SERVING" if entry.endpoint.state is State.READY else "DRAINING",
+                "weight": entry.endpoint.weight,
+                "since_ms": entry.since_ms,
+            }
+            for entry in entries
+        ],
+    }
+
+
 def _read_entry(entry: dict) -> tuple[Listed, str, str]:
     """An entry without its numbers, with the names of its zone and kind."""
     since_ms = int(entry.get("since_ms") or 0)
@@ -187,6 +211,11 @@
         self.watching = False
         self.watch(True)
 
+    def adopt(self, version: int) -> None:
+        """The list of this version has come another way: what is older is news no more."""
+        self.version = version
+        self.taken += 1
+
     def watch(self, on: bool) -> None:
         if on == self.watching:
             return
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -25,7 +25,7 @@
 from .clock import MS, SECOND, Clock
 from .deadlines import Deadlines, Limited
 from .dialect import BODY_MOST, Call
-from .discovery import Discovery, Listed, Names, News
+from .discovery import Discovery, Listed, Names, News, read_news, write_news
 from .front import Paced
 from .lag import Lag
 from .limits import Memory
@@ -647,6 +647,23 @@
         told = self.maintenance.fold(news.entries, complete)
         self._apply(News(news.version, news.complete, told), kind)
 
+    def list_word(self) -> dict[str, Any]:
+        """The list as discovery has told it, with the discovery that its version counts at."""
+        at = self.discovery.host if self.discovery is not None else ""
+        return {"discovery": at, **write_news(self.version, self.maintenance.listed.values(), self.names)}
+
+    def adopt_list(self, word: Mapping[str, Any]) -> None:
+        """Take a list that another process of this sidecar was told, if it is newer. Raises ListError."""
+        discovery = self.discovery
+        if discovery is None or word.get("discovery") != discovery.host:
+            return  # its version says nothing here
+        version = word.get("index")
+        if not isinstance(version, int) or version <= self.version or discovery.version is None:
+            return
+        news = read_news(word, self.names)
+        discovery.adopt(version)
+        self._take_list(news, api.ListKind.CACHED)  # it says nothing of the own watch
+
     def maintain(self, name: str, out: bool) -> bool:
         """Take a known server out, or put it back; whether that changed anything."""
         before = self.maintenance.is_out(name)
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -230,7 +230,7 @@
         self.near, self.far, self.ejected = list(self.servers.values()), [], []
 
     monkeypatch.setattr(Balancer, "_may_send", deaf)
-    monkeypatch.setattr(Balancer, "_regroup", everyone)
+    monkeypatch.setattr(Balancer, "regroup", everyone)
 
 
 def broken_answers(monkeypatch):
