Mend: a call on maintenance is no answer of discovery's watch

Trace by second: the module says that it watches and no watch is open, from the upgrade on. Excluded: the list handed on (breaches at 26 s, long after), limits and pressure.

Cause: _on_membership (logic.py) takes any change for an answer of the watch; a ban that is merged before the first watch, as in each upgrade with servers out, came as DELTA. So the newer process never asked for the list.

Change: ListKind.LOCAL, which says nothing of the subscription. Test red without it.

--- a/dykefold/control/estimates.py
+++ b/dykefold/control/estimates.py
@@ -1,7 +1,7 @@
 """What the decision module believes, as plain values that a newer process can begin with.
 
 No decisions: names of attributes, and the checks that what is read is of their kind. Numbers of servers,
-classes and kinds differ between processes, so all is written by name. Times are on the clock, which is common.
+classes and kinds differ between processes, so all is written by name. Times are on the common clock.
 """
 
 from __future__ import annotations
--- a/dykefold/interface.py
+++ b/dykefold/interface.py
@@ -50,6 +50,7 @@
     FULL = 1  # complete
     CACHED = 2  # complete, as last held; may be old
     FAILED = 3  # a call failed or the subscription broke; no entries
+    LOCAL = 4  # only what changed, by operators: it says nothing of the subscription
 
 
 @dataclass(slots=True)
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -1287,10 +1287,10 @@
             self.watching = False
             self._watch_later()
             return
-        else:
+        elif event.kind is not ListKind.LOCAL:
             self.watching = True
             self.watch_fails = 0
-        if event.kind is not ListKind.DELTA:
+        if event.kind not in (ListKind.DELTA, ListKind.LOCAL):
             present = {entry.server for entry in event.entries}
             for server in self.servers.values():
                 if server.id not in present:
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -669,14 +669,14 @@
         before = self.maintenance.is_out(name)
         told = self.maintenance.say(name, out, self.now())
         if told:
-            self._apply(News(self.version, False, told))
+            self._apply(News(self.version, False, told), api.ListKind.LOCAL)
         return before is not out
 
     def merge_maintenance(self, said: Mapping[str, Said]) -> None:
         """Take what another process of this sidecar was told of servers."""
         told = self.maintenance.merge(said)
         if told:
-            self._apply(News(self.version, False, told))
+            self._apply(News(self.version, False, told), api.ListKind.LOCAL)
 
     def _apply(self, news: News, kind: api.ListKind | None = None) -> None:
         began_s = self.monotonic()
--- a/tests/control/test_door.py
+++ b/tests/control/test_door.py
@@ -1,6 +1,7 @@
 """The door over loopback sockets: calls, bad calls, callers that hold on, and what a ban does."""
 
 import asyncio
+import json
 import socket
 
 import pytest
@@ -16,6 +17,7 @@
     gated,
     message,
     news,
+    reply,
     run,
     until,
 )
@@ -99,6 +101,27 @@
     run(play())
 
 
+def test_a_call_before_the_first_watch_does_not_pass_for_its_answer(tmp_path):
+    """Guards the rule on drains: a sidecar that took a ban for the list never asked for it again."""
+
+    async def play():
+        async def discovery(message, reader, writer):
+            if "wait_ms" in message.first and "after=1&" not in message.first:
+                await reader.read()
+            writer.write(reply(200, json.dumps(listed(*fakes, version=2)).encode()))
+
+        fakes = await two(answer_ok, answer_ok)
+        registry = await Fake(discovery).start()
+        data = config(listed(*fakes), registry.address)
+        async with Operated(tmp_path / "c", data) as sidecar:
+            assert not registry.got  # the first call is spread over half a second
+            assert await sidecar.out("s0") == 200
+            await until(lambda: len(registry.got) == 2)
+            assert sidecar.engine.pool.version == 2 and sidecar.engine.pool.maintenance.is_out("s0")
+
+    run(play())
+
+
 def test_what_waits_for_a_server_as_it_goes_out_never_reaches_it(tmp_path):
     """Guards the rule on drains: a queued first try would send its first byte after the yes."""
 
