Upgrades: an older process keeps the descriptors that its clients hold

Change: of the descriptors the older process keeps what it holds, up to three quarters, and never takes more again; the newest has all that is left, as the signs show it (control/handover.py, Sign.most). Budgets split what is left by what clients hold.

--- a/dykefold/admission/budget.py
+++ b/dykefold/admission/budget.py
@@ -14,6 +14,7 @@
 FILES = 3  # the configuration while it is read again, and what the runtime opens now and then
 SPARE = 1  # kept open only to be closed when the system has none left
 RESERVED = LOOP + ACCEPTING + DISCOVERY + FILES + SPARE
+SPARE_CLAIMS = 8  # requests more that connections which are kept may bring
 LEAST = 8  # for clients and upstreams together, however low the limit
 CLIENTS_PART = 2  # the clients' side gets one in so many of the rest
 REQUESTS_PART = 3  # clients hold one in so many of all descriptors for requests at most
@@ -49,15 +50,24 @@
         self.claims = 0  # requests that are open, and attempts and probes that are out beyond these
         self.resize(limit)
 
-    def resize(self, limit: int) -> None:
-        """Take another limit on the descriptors of the whole process."""
+    def resize(self, limit: int, whole: int = 0, kept: int = 0) -> None:
+        """Take another limit on the descriptors of the process.
+
+        Args:
+            whole: of all processes of this sidecar, where there are several.
+            kept: connections that clients hold, and that they keep as far as attempts leave room.
+        """
         rest = max(limit - RESERVED - self.set_aside, LEAST)
         # Clients need a third for requests. What they may hold beyond that must leave enough to attempts,
         # or silent clients keep every request from its server.
-        self.clients = rest // CLIENTS_PART
-        self.usable = max(limit // REQUESTS_PART, 1)
+        self.clients = max(rest // CLIENTS_PART, min(kept, rest - self.claims - SPARE_CLAIMS))
+        self.usable = max((whole or limit) // REQUESTS_PART, 1)
         self.upstreams.most = rest - self.clients
 
+    def needed(self, clients: int) -> int:
+        """Descriptors that can't be given away with so many connections of clients."""
+        return RESERVED + self.set_aside + clients + self.claims + SPARE_CLAIMS
+
     def claim(self) -> bool:
         """Set a descriptor aside for a connection to a server; False if all are."""
         if self.claims >= self.upstreams.most:
--- a/dykefold/control/handover.py
+++ b/dykefold/control/handover.py
@@ -5,8 +5,10 @@
 one that is left goes on alone with all of the limits.
 
 The rules that this file keeps:
-1. The parts of the limits that live processes take never come to more than the whole: one that starts
-   serves only when every older one has shown that it has made room, or is gone.
+1. What live processes may take never comes to more than the whole: one that starts serves only when every
+   older one has shown that it has made room, or is gone. Memory of messages goes in equal parts. Of the
+   descriptors an older process keeps what it holds, since closing a client's connection under a request
+   that is on its way loses it; it never takes more again, and the newest one has all that is left.
 2. A process says that it takes clients when it does, and never again once it has begun to end.
 3. An older process gives its clients away only in a planned end, and only while a newer one takes them.
 4. What is remembered of others is bounded: `OTHERS_MOST` signs, the latest.
@@ -33,6 +35,7 @@
 STALE_NS = 1_500 * MS  # far more than a loop is ever late; less than the shortest planned end
 ROOM_WAIT_NS = 800 * MS  # for an older process to make room: the platform gives 6 s until the yes
 OTHERS_MOST = 8
+OLDER_MOST = 0.75  # of the descriptors, whatever it holds
 
 
 class State(Enum):
@@ -73,6 +76,7 @@
         beat_ns: when this was written.
         state: of its hand-over.
         sees: live processes that it has made room for, itself among them; it takes one part in so many.
+        most: descriptors that it may hold.
     """
 
     name: str
@@ -80,6 +84,7 @@
     beat_ns: int
     state: State
     sees: tuple[str, ...]
+    most: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,13 +92,15 @@
     """What a look has shown.
 
     Attributes:
-        parts: live processes, this one among them: it may take one part in so many of every limit.
+        parts: live processes, this one among them: it may take one part in so many of the messages' memory.
+        most: descriptors that it may hold.
         newer_takes: whether clients are better off with a newer process.
         arrived: whether an older or newer process has come into view since the last look.
         may_serve: whether this one may begin to take clients.
     """
 
     parts: int
+    most: int
     newer_takes: bool
     arrived: bool
     may_serve: bool
@@ -107,13 +114,19 @@
         self.born_ns = born_ns
         self.state = State.STARTING
         self.sees: tuple[str, ...] = (name,)
+        self.most = 0
 
     def sign(self, now_ns: int) -> Sign:
         """What to show now."""
-        return Sign(self.name, self.born_ns, now_ns, self.state, self.sees)
+        return Sign(self.name, self.born_ns, now_ns, self.state, self.sees, self.most)
 
-    def look(self, now_ns: int, signs: Iterable[Sign]) -> View:
-        """Take what the others show."""
+    def look(self, now_ns: int, signs: Iterable[Sign], whole: int, held: int) -> View:
+        """Take what the others show.
+
+        Args:
+            whole: descriptors that the sidecar may hold.
+            held: of these, what this process can't do without just now.
+        """
         signs = sorted(signs, key=lambda sign: (sign.born_ns, sign.name))[-OTHERS_MOST:]
         mine = (self.born_ns, self.name)
         # One that was alone until now has not had to show that it lives.
@@ -128,9 +141,16 @@
             self._go(Event.NEWER_STARTS)
         elif not newer:
             self._go(Event.NEWER_GONE)
+        if newer:
+            self.most = min(self.most, max(held, whole // 2), int(OLDER_MOST * whole))
+            if newer_takes:
+                self.most = min(self.most, held)
+        else:
+            self.most = max(whole - sum(sign.most for sign in others), 0)
         made_room = all(self.name in sign.sees for sign in older)
         return View(
             parts=len(self.sees),
+            most=self.most,
             newer_takes=newer_takes,
             arrived=any(name not in before for name in self.sees),
             may_serve=made_room or now_ns - self.born_ns >= ROOM_WAIT_NS,
--- a/dykefold/control/upgrade.py
+++ b/dykefold/control/upgrade.py
@@ -89,12 +89,13 @@
         for name, word in words.items():
             if name != self._file:
                 self._merge(read_said(word))
-        view = self.handover.look(now_ns, signs.values())
+        engine = self.engine
+        view = self.handover.look(now_ns, signs.values(), engine.sockets, engine.needed())
         self.others = {sign.name: sign for sign in signs.values() if sign.name in view_names(self.handover)}
         if view.parts != self.parts:
             log.info("one of %d processes of this sidecar", view.parts)
             self.parts = view.parts
-            self.engine.share(view.parts)
+        engine.share(view.parts, view.most)
         self.engine.handing = view.newer_takes
         if view.arrived:
             pools = [snapshot(pool.balancer, pool.names) for pool in self.engine.pools]
@@ -176,6 +177,7 @@
         "beat_ns": sign.beat_ns,
         "state": sign.state.value,
         "sees": list(sign.sees),
+        "most": sign.most,
         "said": {name: [one.at_ns, one.out] for name, one in said.items()},
     }
 
@@ -189,6 +191,7 @@
             int(word["beat_ns"]),
             State(word["state"]),
             tuple(str(name) for name in word["sees"]),
+            max(int(word["most"]), 0),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -86,7 +86,8 @@
         self.pools: dict[Pool, None] = {}  # those that are served and those that retire
         self.half_close = False
         self.sockets, self.memory_limit = sockets, memory  # of the sidecar, and of its processes ...
-        self.parts = 1  # ... that live just now: this one takes one part
+        self.parts = 1  # ... that live just now: this one takes one part of the memory
+        self.most = sockets  # descriptors that this one may hold
         self.budget = Budget(sockets, set_aside)
         self.memory = Memory(memory)
         self.clients = Clients(Admission(self._share(), caps or Caps()), system)
@@ -222,17 +223,29 @@
 
     def limit(self, sockets: int, caps: Caps) -> None:
         """Take other limits while running: what is open beyond them goes, except what a request needs."""
+        if self.parts == 1:
+            self.most = sockets
         self.sockets = sockets
-        self.budget.resize(sockets // self.parts)
+        kept = self.clients.admission.count if self.parts > 1 else 0
+        self.budget.resize(min(self.most, sockets), sockets, kept)
         self.memory.resize(self.memory_limit // self.parts)
         self.clients.resize(self._share(), caps)
         for pool in self.pools:
             pool.upstreams.shrink()
 
-    def share(self, parts: int) -> None:
-        """Take one part in so many of the limits: so many processes of this sidecar live."""
-        if parts != self.parts:
-            self.parts = parts
+    def needed(self) -> int:
+        """Descriptors that this process can't give away just now."""
+        return self.budget.needed(self.clients.admission.count)
+
+    def share(self, parts: int, most: int) -> None:
+        """Leave room to other processes of this sidecar.
+
+        Args:
+            parts: how many live; this one takes one part in so many of the memory of messages.
+            most: descriptors that this one may hold.
+        """
+        if (parts, most) != (self.parts, self.most):
+            self.parts, self.most = parts, most
             self.limit(self.sockets, self.clients.admission.caps)
 
     # Housekeeping and the end
--- a/tests/control/test_handover.py
+++ b/tests/control/test_handover.py
@@ -10,6 +10,8 @@
 from dykefold.control.maintenance import Said
 from dykefold.control.upgrade import read_said, read_sign, sign_word
 
+WHOLE = 384  # descriptors
+
 
 class Life:
     """A process of a sidecar: it looks every `LOOK_NS` and shows itself as the edge does."""
@@ -17,7 +19,8 @@
     def __init__(self, number, now):
         self.handover = Handover(f"p{number}", now)
         self.alive = True
-        self.parts = None  # of the limits it takes one in so many; None: it takes none yet
+        self.parts = None  # of the memory it takes one in so many; None: it takes none yet
+        self.held = 100
         self.view = None
         self.shown = self.handover.sign(now)
 
@@ -25,7 +28,7 @@
         if not self.alive:
             return
         others = [life.shown for life in lives if life is not self]
-        self.view = self.handover.look(now, others)
+        self.view = self.handover.look(now, others, WHOLE, self.held)
         if self.handover.state is State.STARTING:
             if self.view.may_serve:
                 self.handover.serves()
@@ -57,10 +60,18 @@
     assert old.handover.state is State.TAKING and old.parts == 1
     new.look(now, lives)
     assert new.parts is None  # it waits until there is room
+    old.held = 250
     now = play(lives, now, 2)
     assert (old.parts, new.parts) == (2, 2)
+    assert (old.view.most, new.view.most) == (250, WHOLE - 250)  # its clients keep their connections
     now = play(lives, now, 1)
     assert old.handover.state is State.HANDING and old.view.newer_takes
+    old.held = 80
+    now = play(lives, now, 2)
+    assert (old.view.most, new.view.most) == (80, WHOLE - 80)
+    old.held = 200
+    now = play(lives, now, 2)
+    assert old.view.most == 80  # what it gave away it does not take back
     old.handover.ends()
     now = play(lives, now, 3)
     assert old.handover.state is State.ENDING
@@ -137,6 +148,12 @@
         if self.lives:
             self.lives[which % len(self.lives)].handover.ends()
 
+    @rule(which=st.integers(0, 9), held=st.integers(0, WHOLE))
+    def holds(self, which, held):
+        if self.lives:
+            life = self.lives[which % len(self.lives)]
+            life.held = min(held, life.view.most if life.view else WHOLE)
+
     @rule(steps=st.integers(1, 20))
     def time_passes(self, steps):
         self.now = play(self.lives, self.now, steps)
@@ -150,9 +167,10 @@
             life.look(self.now, self.lives)
 
     @invariant()
-    def the_parts_are_no_more_than_the_whole(self):
-        parts = [life.parts for life in self.lives if life.alive and life.parts]
-        assert sum(1 / part for part in parts) < 1.0 + 1e-9
+    def what_is_taken_is_no_more_than_the_whole(self):
+        serving = [life for life in self.lives if life.alive and life.parts]
+        assert sum(1 / life.parts for life in serving) < 1.0 + 1e-9
+        assert sum(life.view.most for life in serving) <= WHOLE
 
 
 TestHandover = Machine.TestCase
--- a/tests/control/test_upgrade.py
+++ b/tests/control/test_upgrade.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 import signal
 import socket
 
@@ -19,11 +20,13 @@
     message,
     news,
     read_message,
+    reply,
     run,
     until,
 )
 from process_helpers import Process
 
+from dykefold.control.estimates import restore, snapshot
 from dykefold.control.steering import steer
 
 IDENTS = itertools.count()
@@ -47,10 +50,11 @@
         self.known = news(1, *(entry(f"s{n}", fake.address) for n, fake in enumerate(fakes)))
         self.port = 0
         self.number = 0
+        self.more = {}
 
     def next(self):
         self.number += 1
-        data = config(self.known, control=f"{HOST}:0", listen=f"{HOST}:{self.port}")
+        data = config(self.known, control=f"{HOST}:0", listen=f"{HOST}:{self.port}", **self.more)
         path = self.tmp_path / f"c{self.number}"
         return Process(path, data, TMPDIR=str(self.tmp_path / "tmp"))
 
@@ -215,3 +219,96 @@
 
     with socket.socket(socket.AF_UNIX) as sock, pytest.raises(OSError):
         steer(sock, 0)
+
+
+def test_a_process_that_makes_room_closes_no_connection_of_a_client(tmp_path):
+    """Guards requests on their way: 34 idle connections were closed at once, some under the next request."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        data = config(news(1, entry("s1", fake.address)), limits={"memory_mb": 80, "sockets": 200})
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            engine, held = sidecar.engine, []
+            for number in range(70):
+                reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+                writer.write(message("lookup", f"a{number}"))
+                assert (await read_message(reader)).code == 200
+                held.append((reader, writer))
+            alive = engine.clients.admission.count
+            most = max(engine.needed(), 100)
+            assert engine.budget.clients < 2 * alive
+            engine.share(2, most)
+            assert engine.clients.admission.count == alive
+            assert engine.budget.clients + engine.budget.upstreams.most <= most
+            assert (await ask(sidecar.port, message("lookup", "b"))).code in (200, 503)
+            engine.share(1, 200)
+            assert (await ask(sidecar.port, message("lookup", "c"))).code == 200
+            for _, writer in held:
+                writer.close()
+
+    run(play())
+
+
+def test_the_newer_process_begins_with_the_list_and_estimates_of_the_older(tmp_path):
+    """Guards the rule on drains: its configuration is as old as the first start of its sidecar."""
+
+    async def play():
+        fakes = [await Fake(answer_ok).start() for _ in range(3)]
+        waits = asyncio.Event()
+
+        async def discovery(got, reader, writer):
+            if "after=2" in got.first or len(registry.got) > 1:
+                await waits.wait()  # the newer process is not told in time
+            states = ["SERVING", "DRAINING", "DRAINING"]
+            listed = [entry(f"s{n}", fakes[n].address, state) for n, state in enumerate(states)]
+            writer.write(reply(200, json.dumps(news(2, *listed)).encode()))
+
+        registry = await Fake(discovery).start()
+        sidecars = Sidecars(tmp_path, *fakes)
+        sidecars.more = {"discovery": registry.address}
+        async with contextlib.AsyncExitStack() as stack:
+            old = await stack.enter_async_context(sidecars.next())
+            sidecars.port = old.port
+            await until(lambda: len(registry.got) > 1)
+            for number in range(20):
+                assert (await ask(old.port, message("lookup", f"a{number}"))).code == 200
+            before = [len(fake.got) for fake in fakes]
+            new = await stack.enter_async_context(sidecars.next())
+            for number in range(20):
+                assert (await ask(new.port, message("lookup", f"b{number}"))).code == 200
+            assert [len(fake.got) for fake in fakes] == [before[0] + 20, *before[1:]]
+            waits.set()
+
+    run(play())
+
+
+def test_estimates_go_on_by_name_and_what_is_of_no_use_is_left(tmp_path):
+    async def play():
+        fakes = [await Fake(answer_ok).start() for _ in range(2)]
+        listed = [entry(f"s{n}", fake.address, since_ms=5) for n, fake in enumerate(fakes)]
+        async with (
+            Sidecar(tmp_path / "a", config(news(1, *listed))) as one,
+            Sidecar(tmp_path / "b", config(news(1, *reversed(listed)))) as two,
+        ):
+            for number in range(30):
+                assert (await ask(one.port, message("lookup", f"a{number}"))).code == 200
+            old, new = one.engine.pool, two.engine.pool
+            old.balancer.servers[old.names.servers["s1"]].rel = 2.5
+            values = json.loads(json.dumps(snapshot(old.balancer, old.names)))
+            assert restore(new.balancer, new.names, values)
+            assert new.balancer.servers[new.names.servers["s1"]].rel == 2.5
+            assert (new.balancer.limit, new.balancer.rate) == (old.balancer.limit, old.balancer.rate)
+            assert new.balancer.live[0].base == old.balancer.live[0].base
+            assert (await ask(two.port, message("lookup", "b"))).code == 200
+            # One that has started again since is not what was believed of it.
+            values["servers"]["s0"]["started"] += 1
+            values["servers"]["s0"]["rel"] = 9.0
+            assert restore(new.balancer, new.names, values)
+            assert new.balancer.servers[new.names.servers["s0"]].rel != 9.0
+            limit = new.balancer.limit
+            for spoilt in (None, [], {"whole": {"limit": 1.0}}, {**values, "whole": {"limit": "x"}}):
+                assert not restore(new.balancer, new.names, spoilt)
+            values["whole"]["limit"] = float("nan")
+            assert not restore(new.balancer, new.names, values) and new.balancer.limit == limit
+
+    run(play())
