Let go of messages that stopped, not of those that keep coming slowly

Cause: SLOW_AFTER_S in admission/rules.py counted from a message's first byte. Change: it counts from the latest byte. A trace of what fails at 5 to 10 s shows no answer of the sidecar behind it: these are connections while the process is down.

--- a/dykefold/admission/rules.py
+++ b/dykefold/admission/rules.py
@@ -4,7 +4,7 @@
 1. A connection with a request open, or with an answer on its way out, is never let go.
 2. The clients' share is never exceeded: whoever is let in beyond it, another one is named to leave first.
 3. Strangers never hold the reserve; known desks take it, and the room of strangers after it.
-4. Among those that may leave the order is: those that are leaving anyway, never asked, slow with a
+4. Among those that may leave the order is: those that are leaving anyway, never asked, stopped within a
    message, idle after one request, idle after several, and last the youngest with a message begun of the
    address that has most of these. Within each, the address that has most gives first, its oldest one.
 5. Nothing costs more when more connections are open.
@@ -32,7 +32,7 @@
 BODY_LEAST_BYTES_S = 24 * 1024  # ... and what it must bring on the average: 64 kB a second are honest
 BODY_FIRST_S = 1.0  # that it has before that counts
 IDLE_MOST_S = 2.0  # that a connection is kept with no request open
-SLOW_AFTER_S = 0.5  # a usual message comes in one piece; one that takes so long may leave when all is full
+STOPPED_AFTER_S = 0.5  # without a byte of a message that has begun: it may leave when all is full
 YOUNG_S = 0.02  # in which a new connection's first request may well be on its way
 FEW_SILENT = 0.25  # of the share: when more than that are silent, it is no burst of usual ones
 PEAK_SPAN_S = 2.0  # over which the most requests open at once are remembered, and at most twice that
@@ -59,6 +59,7 @@
 
 
 IDLE = (State.ONCE, State.KEPT)
+RENEWED = (*IDLE, State.READING)  # states that count from the latest that was heard
 
 
 class Reason(Enum):
@@ -220,7 +221,7 @@
             self._finished(client)
         if state is State.ONCE and client.requests > 1:
             state = State.KEPT
-        if state is client.state and state not in IDLE:
+        if state is client.state and state not in RENEWED:
             return
         self._exit(client)
         self._enter(client, state, now_s)
@@ -308,9 +309,9 @@
             flood = len(silent) > FEW_SILENT * self.share.connections
             if flood or now_s - silent.since[client] >= YOUNG_S or not (once or kept):
                 return client
-        slow = reading.oldest()
-        if slow is not None and reading.since[slow] <= now_s - SLOW_AFTER_S:
-            return slow
+        stopped = reading.oldest()
+        if stopped is not None and reading.since[stopped] <= now_s - STOPPED_AFTER_S:
+            return stopped
         for queue in (once, kept):
             if queue:
                 return queue.greediest_oldest()
