Door and upgrades for `serve`, and `dykefold control`: one Presence for both programs

Need: the door, maintenance and upgrades stood on the platform's program alone; an installation with several services had none of them, and staff on call had to write HTTP by hand. The wiring of door, hand-over and listener stood in `__main__.run` only.

Change: `control/presence.py` holds what operators meet of a process; `run` and `serve` use it alike. Pools have a label, so that lists and estimates find their pool in the next process whatever its order. `[control]` in the operator's file names the door and the shared folder; beside the platform's file it is refused, since that one names the door. `dykefold control health | maint | ready` calls a door, `--json` for programs.

On the platform nothing is new in `run`.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -14,13 +14,9 @@
 
 import uvloop
 
-from .admission.listener import Listener
 from .configuration import Config, ConfigError, read_config, read_service_file, system_limit
-from .control.board import Files
 from .control.door import DESCRIPTORS as DOOR_DESCRIPTORS
-from .control.door import Door
-from .control.operator import Operator
-from .control.upgrade import Upgrade
+from .control.presence import Presence
 from .net.engine import Engine
 from .net.peers import Address, Peers
 
@@ -31,8 +27,6 @@
 
 log = logging.getLogger("dykefold")
 
-BACKLOG = 512
-
 
 def start_engine(loop: asyncio.AbstractEventLoop, config: Config) -> Engine:
     set_aside = DOOR_DESCRIPTORS if config.control is not None else 0
@@ -74,55 +68,22 @@
     loop = asyncio.get_running_loop()
     engine = start_engine(loop, config)
     # Where the platform gives no door there are no upgrades either, and nobody to share an address with.
-    operated = config.control is not None
-    upgrade = _upgrade(loop, engine) if operated else None
-
-    def end() -> None:
-        if upgrade is not None:
-            upgrade.end()
-        engine.drain()
-
+    presence = Presence(loop, engine, config.control, os.environ.get("TMPDIR"))
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, end)
+        loop.add_signal_handler(number, presence.drain)
     loop.add_signal_handler(signal.SIGHUP, Reload(engine, config, path, service))
-    door = None
     try:
-        if config.control is not None:
-            door = Door(
-                loop,
-                socket.create_server(config.control, backlog=DOOR_DESCRIPTORS),
-                Operator(engine, upgrade),
-            )
-            log.info("the door is at %s:%d", *door.address)
-        if upgrade is not None:
-            await upgrade.make_room()
+        await presence.begin()
         if config.peer_listen is not None:
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.pool.on_peer)
             await loop.create_datagram_endpoint(
-                lambda: peers, sock=_datagram_socket(config.peer_listen, operated)
+                lambda: peers, sock=_datagram_socket(config.peer_listen, presence.shared)
             )
             engine.peers = peers
-        sock = socket.create_server(config.listen, backlog=BACKLOG, reuse_port=operated)
-        listener = engine.listen(sock)
+        address = presence.listen(config.listen)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
-    if upgrade is not None:
-        upgrade.takes(sock)
-    await _until_stopped(engine, config.name, listener)
-    if upgrade is not None:
-        upgrade.close()
-    if door is not None:
-        door.close()
-
-
-def _upgrade(loop: asyncio.AbstractEventLoop, engine: Engine) -> Upgrade | None:
-    """The hand-over's side of this process, where it has a folder for it."""
-    folder = os.environ.get("TMPDIR")
-    try:
-        return Upgrade(loop, engine, Files(folder)) if folder else None
-    except OSError as error:
-        log.warning("%s: no upgrades: %s", folder, error.strerror)
-        return None
+    await _until_stopped(engine, config.name, address, presence)
 
 
 def _datagram_socket(address: Address, shared: bool) -> socket.socket:
@@ -134,14 +95,15 @@
     return sock
 
 
-async def _until_stopped(engine: Engine, name: str, listener: Listener) -> None:
+async def _until_stopped(engine: Engine, name: str, address: Address, presence: Presence) -> None:
     # What was made until now lives as long as the process: collections need not look at it again, nor
     # come as often as for a program that makes cycles.
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
-    log.info("%s listens at %s:%d", name, *listener.address)
+    log.info("%s listens at %s:%d", name, *address)
     await engine.stopped
+    presence.close()
     engine.close()
 
 
@@ -150,20 +112,24 @@
     from .routing.services import Services  # not part of the platform's sidecar
 
     loop = asyncio.get_running_loop()
-    engine = Engine(loop, min(plan.sockets, system_limit()), plan.memory_bytes, service.caps)
+    sockets = min(plan.sockets, system_limit())
+    set_aside = DOOR_DESCRIPTORS if service.control is not None else 0
+    engine = Engine(loop, sockets, plan.memory_bytes, service.caps, set_aside=set_aside)
+    presence = Presence(loop, engine, service.control, service.folder)
     services = Services(engine, lambda: random.getrandbits(63))
     try:
-        services.apply(plan, min(plan.sockets, system_limit()), service.caps)
+        services.apply(plan, sockets, service.caps)
     except ValueError as error:
         raise ConfigError(f"{path}: {error}", code=2) from None
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, engine.drain)
+        loop.add_signal_handler(number, presence.drain)
     loop.add_signal_handler(signal.SIGHUP, reload_services, services, path)
     try:
-        listener = engine.listen(socket.create_server(plan.listen, backlog=BACKLOG))
+        await presence.begin()
+        address = presence.listen(plan.listen)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
-    await _until_stopped(engine, plan.name, listener)
+    await _until_stopped(engine, plan.name, address, presence)
 
 
 def reload_services(services: Services, path: str) -> None:
--- a/dykefold/cli/__init__.py
+++ b/dykefold/cli/__init__.py
@@ -1,11 +1,11 @@
-"""The command line for people: `dykefold serve | check | sim | lab | version`. Not in the platform's process.
+"""The command line for people: `dykefold serve | check | control | sim | lab | version`.
 
-Exit codes: 0 good, 1 failed, 2 wrong use or a file that is wrong.
+Not in the platform's process. Exit codes: 0 good, 1 failed, 2 wrong use or a file that is wrong.
 """
 
 from __future__ import annotations
 
-from . import lab, services, simulate
+from . import control, lab, services, simulate
 from .app import app
 
 __all__ = ["main"]
@@ -13,6 +13,7 @@
 services.add_to(app)
 simulate.add_to(app)
 lab.add_to(app)
+control.add_to(app)
 
 
 def main() -> None:
--- a/dykefold/configuration.py
+++ b/dykefold/configuration.py
@@ -219,6 +219,8 @@
     if not service:
         return Caps()
     read = read_service_file(service)
+    if read.control is not None:
+        raise ConfigError(f"{service}: control: beside the platform's file that one names the door", code=2)
     if read.plan is not None:
         text = f"{service}: pools and routes are for `serve`; beside the platform's file they have no meaning"
         raise ConfigError(text, code=2)
--- a/dykefold/control/upgrade.py
+++ b/dykefold/control/upgrade.py
@@ -35,7 +35,7 @@
         self.handover = Handover(f"{born_ns:020d}-{os.getpid()}", born_ns)
         self.parts = 1
         self.others: dict[str, Sign] = {}
-        self.told: list[int] = []  # versions of the lists that others can read
+        self.told: dict[str, int] = {}  # versions of the lists that others can read
         self.timer: asyncio.TimerHandle | None = None
 
     # The start
@@ -51,9 +51,9 @@
 
     def _begin_with(self, older: Sign) -> None:
         """Believe what the latest older process believed, so as not to begin blind."""
-        word = self.board.read(f"state-{older.name}") or {}
-        for pool, known in zip(self.engine.pools, word.get("pools", ()), strict=False):
-            if not restore(pool.balancer, pool.names, known):
+        known = _table(self.board.read(f"state-{older.name}"), "pools")
+        for pool in self.engine.pools:
+            if pool.label in known and not restore(pool.balancer, pool.names, known[pool.label]):
                 log.warning("what %s knew of its servers is of no use here", older.name)
 
     def takes(self, sock: socket.socket) -> None:
@@ -98,7 +98,7 @@
         engine.share(view.parts, view.most)
         self.engine.handing = view.newer_takes
         if view.arrived:
-            pools = [snapshot(pool.balancer, pool.names) for pool in self.engine.pools]
+            pools = {pool.label: snapshot(pool.balancer, pool.names) for pool in self.engine.pools}
             self.board.write(f"state-{self.handover.name}", {"pools": pools})
         for name in self.others:
             self._hear_lists(name, words[f"sign-{name}"])
@@ -111,22 +111,22 @@
 
     def _hear_lists(self, name: str, word: dict[str, Any]) -> None:
         """Take the lists of another process that are newer: what it was told, this sidecar was told."""
-        told = word.get("lists")
-        mine = [pool.version for pool in self.engine.pools]
-        if not isinstance(told, list) or not any(a > b for a, b in zip(told, mine, strict=False)):
+        told = _table(word, "lists")
+        newer = [pool for pool in self.engine.pools if _whole(told.get(pool.label)) > pool.version]
+        if not newer:
             return
-        lists = (self.board.read(f"list-{name}") or {}).get("pools", ())
-        for pool, known in zip(self.engine.pools, lists, strict=False):
+        lists = _table(self.board.read(f"list-{name}"), "pools")
+        for pool in newer:
             try:
-                pool.adopt_list(known)
+                pool.adopt_list(_table(lists, pool.label))
             except ValueError as error:
                 log.warning("the list of %s is of no use here: %s", name, error)
 
-    def _tell_lists(self) -> list[int]:
+    def _tell_lists(self) -> dict[str, int]:
         """Leave the lists where others may need them; their versions."""
-        versions = [pool.version for pool in self.engine.pools]
+        versions = {pool.label: pool.version for pool in self.engine.pools}
         if self.others and versions != self.told:
-            lists = [pool.list_word() for pool in self.engine.pools]
+            lists = {pool.label: pool.list_word() for pool in self.engine.pools}
             if self.board.write(f"list-{self.handover.name}", {"pools": lists}):
                 self.told = versions
         return self.told
@@ -164,6 +164,16 @@
                 self.board.remove(f"{kind}-{self.handover.name}")
 
 
+def _table(word: object, key: str) -> dict[str, Any]:
+    """A table inside of what another process left; empty if there is none."""
+    inner = word.get(key) if isinstance(word, dict) else None
+    return inner if isinstance(inner, dict) else {}
+
+
+def _whole(value: object) -> int:
+    return value if isinstance(value, int) else -1
+
+
 def view_names(handover: Handover) -> set[str]:
     """The other processes that were seen to live."""
     return set(handover.sees) - {handover.name}
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -235,6 +235,7 @@
         known: News,
         budget: Claims | None = None,
         elsewhere: Callable[[], bool] | None = None,
+        label: str = "",
     ) -> None:
         """Make a pool.
 
@@ -243,8 +244,10 @@
             known: the list to begin with.
             budget: the descriptors that it may set aside; None for all of the process's.
             elsewhere: closes a connection that another pool does not need; whether there was one.
+            label: tells the pools of a process apart, and is the same in the next one.
         """
         self.home = home
+        self.label = label
         self.loop = home.loop
         self.monotonic = home.system.monotonic
         self.clock = home.clock
--- a/dykefold/operators.py
+++ b/dykefold/operators.py
@@ -15,11 +15,12 @@
 from msgspec import Meta
 
 from .admission.addresses import Caps
+from .net.discovery import split_address
 from .routing.config import read_plan, struct_problems
 from .routing.plan import Plan
 
 PLANNED = ("node", "pools", "routes")
-TABLES = ("admission", *PLANNED)
+TABLES = ("admission", "control", *PLANNED)
 
 Positive = Annotated[int, Meta(ge=1)]
 Count = Annotated[int, Meta(ge=0)]
@@ -63,6 +64,13 @@
         )
 
 
+class ControlTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """`[control]`: see docs/operators/operation.md; without `listen` there is no door."""
+
+    listen: str | None = None
+    folder: str | None = None
+
+
 class ServiceError(Exception):
     """The file can't be used; `problems` has one line for each thing wrong with it."""
 
@@ -77,10 +85,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """What the file asks for. `plan` is None where it names no pool."""
+    """What the file asks for.
+
+    Attributes:
+        plan: None where it names no pool.
+        control: address of the operators' door; None for none.
+        folder: that an older and a newer process share during an upgrade; None for no upgrades.
+    """
 
     caps: Caps
     plan: Plan | None
+    control: tuple[str, int] | None = None
+    folder: str | None = None
 
 
 def read_toml(path: str) -> dict[str, Any]:
@@ -105,13 +121,32 @@
     known = admission.get("known") if isinstance(admission, dict) else None
     if isinstance(known, list):
         problems += [problem for text in known if (problem := _network_problem(text))]
+    control = data.get("control", {})
+    problems += struct_problems("control", control, ControlTable)
+    listen = control.get("listen") if isinstance(control, dict) else None
+    if isinstance(listen, str) and (problem := _address_problem(listen)):
+        problems.append(problem)
     plan = None
     if any(name in data for name in PLANNED):
         plan, more = read_plan(data)
         problems += more
     if problems:
         raise ServiceError(path, problems)
-    return Service(msgspec.convert(admission, AdmissionTable).caps(), plan)
+    read = msgspec.convert(control, ControlTable)
+    return Service(
+        msgspec.convert(admission, AdmissionTable).caps(),
+        plan,
+        split_address(read.listen, least_port=0) if read.listen else None,
+        read.folder,
+    )
+
+
+def _address_problem(text: str) -> str | None:
+    try:
+        split_address(text, least_port=0)
+    except ValueError:
+        return f"control.listen: {text!r}: expected an address such as 127.0.0.1:9000"
+    return None
 
 
 def _network_problem(text: object) -> str | None:
--- a/dykefold/routing/services.py
+++ b/dykefold/routing/services.py
@@ -124,6 +124,7 @@
             _listed(plan, names, 1),
             budget,
             self.engine.make_room,
+            plan.name,
         )
         self.engine.pools[pool] = None
         return Service(plan, pool, budget)
--- /dev/null
+++ b/tests/cli/test_control.py
@@ -0,0 +1,45 @@
+"""`dykefold control` against a real sidecar's door."""
+
+import asyncio
+import json
+
+import pytest
+from net_helpers import HOST, Fake, answer_ok, config, entry, news, run
+from process_helpers import Process
+from test_cli import play
+
+
+def test_calls_their_exit_codes_and_their_json(tmp_path):
+    async def scene():
+        fake = await Fake(answer_ok).start()
+        data = config(news(1, entry("s:1/a", fake.address)), control=f"{HOST}:0")
+        async with Process(tmp_path / "c", data, TMPDIR=str(tmp_path)) as sidecar:
+
+            async def call(*arguments):
+                return await asyncio.to_thread(play, "control", *arguments, "--at", f"{HOST}:{sidecar.door}")
+
+            done = await call("health")
+            assert done.exit_code == 0 and done.stdout == "ok\n"
+            assert (await call("maint", "s:1/a")).exit_code == 0
+            assert (await call("ready", "s:1/a")).exit_code == 0
+            done = await call("maint", "nobody")
+            assert done.exit_code == 1 and "no such server" in done.stderr
+            told = json.loads((await call("maint", "nobody", "--json")).stdout)
+            assert told["code"] == 404 and not told["yes"] and told["server"] == "nobody"
+            door = sidecar.door
+        done = await asyncio.to_thread(play, "control", "health", "--json", "--at", f"{HOST}:{door}")
+        assert done.exit_code == 1 and json.loads(done.stdout)["code"] is None
+
+    run(scene())
+
+
+@pytest.mark.parametrize(
+    "arguments", [("health", "--at", "nowhere"), ("maint", "--at", "127.0.0.1:1"), ("out",)]
+)
+def test_wrong_use_ends_with_2(arguments):
+    assert play("control", *arguments).exit_code == 2
+
+
+def test_the_environment_names_the_door(monkeypatch):
+    monkeypatch.setenv("GW_CONTROL", "127.0.0.1:1")
+    assert play("control", "health").exit_code == 1
