--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -73,7 +73,9 @@
         loop.add_signal_handler(number, presence.drain)
     loop.add_signal_handler(signal.SIGHUP, Reload(engine, config, path, service))
     try:
-        await presence.begin()
+        if not await presence.begin():
+            _end_unbegun(engine, presence)
+            return
         if config.peer_listen is not None:
             peers = Peers(config.settings.index, config.peers, config.peers_all, engine.pool.on_peer)
             await loop.create_datagram_endpoint(
@@ -95,6 +97,12 @@
     return sock
 
 
+def _end_unbegun(engine: Engine, presence: Presence) -> None:
+    log.info("it ends before it has taken clients")
+    presence.close()
+    engine.close()
+
+
 async def _until_stopped(engine: Engine, name: str, address: Address, presence: Presence) -> None:
     # What was made until now lives as long as the process: collections need not look at it again, nor
     # come as often as for a program that makes cycles.
@@ -125,7 +133,9 @@
         loop.add_signal_handler(number, presence.drain)
     loop.add_signal_handler(signal.SIGHUP, reload_services, services, path)
     try:
-        await presence.begin()
+        if not await presence.begin():
+            _end_unbegun(engine, presence)
+            return
         address = presence.listen(plan.listen)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
--- a/dykefold/control/board.py
+++ b/dykefold/control/board.py
@@ -2,11 +2,16 @@
 
 A file is written beside and then renamed, so that no reader meets a part of one. Whatever can't be read (torn
 by a full disk, of another version, too large) counts as not there: no process depends on another's word.
+
+Beside its words each process holds a lock (flock(2)) on a file of its name. The kernel takes it back when the
+process ends, in whichever way, and keeps it while the process is stopped: that tells the two apart, and a
+process number that is in use again tells nothing. Nobody ever waits for a lock.
 """
 
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import json
 import logging
 import os
@@ -45,6 +50,14 @@
         """Take a word away; that it is gone already is no error."""
         ...
 
+    def hold(self, name: str) -> bool:
+        """Show under a name that this process lives, until it ends; False if that can't be shown."""
+        ...
+
+    def held(self, name: str) -> bool | None:
+        """Whether the process that holds a name lives; None if nothing tells."""
+        ...
+
 
 class Files:
     """A board of files in `$TMPDIR`."""
@@ -54,6 +67,7 @@
         self.path = Path(folder) / FOLDER
         self.path.mkdir(mode=0o700, exist_ok=True)
         self.seen_ns = -1
+        self.lock = -1
         self.noted: set[str] = set()
 
     def changed(self) -> bool:
@@ -106,6 +120,34 @@
     def remove(self, name: str) -> None:
         with contextlib.suppress(OSError):
             (self.path / f"{name}.json").unlink()
+        with contextlib.suppress(OSError):
+            (self.path / f"{name}.lock").unlink()
+
+    def hold(self, name: str) -> bool:
+        try:
+            self.lock = os.open(self.path / f"{name}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            self._note(name, f"has no lock: {error.strerror}")
+            with contextlib.suppress(OSError):
+                (self.path / f"{name}.lock").unlink()
+            return False
+        return True
+
+    def held(self, name: str) -> bool | None:
+        try:
+            lock = os.open(self.path / f"{name}.lock", os.O_RDONLY | os.O_CLOEXEC)
+        except OSError:
+            return None
+        try:
+            fcntl.flock(lock, fcntl.LOCK_SH | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return None
+        finally:
+            os.close(lock)
+        return False
 
     def _note(self, name: str, what: str) -> None:
         """One log line for each file: it is looked at again and again."""
--- a/dykefold/control/handover.py
+++ b/dykefold/control/handover.py
@@ -1,14 +1,19 @@
 """Two processes, one sidecar: the hand-over from an older one to a newer one. No I/O.
 
-Each process shows a `Sign` where the others can read it and looks at theirs every `LOOK_NS`. Whoever's sign
-has not changed for `STALE_NS` is gone, however it went, so that each step that fails has the same end: the
-one that is left goes on alone with all of the limits.
+Each process shows a `Sign` where the others can read it and looks at theirs every `LOOK_NS`. Two questions
+are kept apart. Whether a process *lives*: it does while it holds its lock, which the kernel takes from it
+however it ends; where there are no locks, while its sign is fresh. What lives counts against the limits, also
+if it stands still, since it holds what it held. Whether a process *speaks*: its sign is younger than
+`STALE_NS`. One that does not speak (stopped, starved, unable to write) is given no clients: they go to the
+newest that does, and come back to it when it speaks again.
 
 The rules that this file keeps:
-1. What live processes may take never comes to more than the whole: one that starts serves only when every
-   older one has shown that it has made room, or is gone. Memory of messages goes in equal parts. Of the
-   descriptors an older process keeps what it holds, since closing a client's connection under a request
-   that is on its way loses it; it never takes more again, and the newest one has all that is left.
+1. What live processes may take never comes to more than the whole: whoever takes more shows its claim first,
+   and at its next look takes of it what the claims of the others leave. So of two that grow at once each one
+   sees the other's claim before it takes. One that starts serves when every older one has shown that it has
+   made room, is gone, or was waited for, however little is left. Memory of messages goes in equal parts.
+   Of the descriptors an older process keeps what it holds, since closing a client's connection under a
+   request that is on its way loses it; it never takes more again, and the newest has all that is left.
 2. A process says that it takes clients when it does, and never again once it has begun to end.
 3. An older process gives its clients away only in a planned end, and only while a newer one takes them.
 4. What is remembered of others is bounded: `OTHERS_MOST` signs, the latest.
@@ -19,14 +24,15 @@
     STARTING   | may serve      | TAKING     every older process has made room, or was waited for long enough
     TAKING     | newer starts   | SHARING
     SHARING    | newer takes    | HANDING
-    SHARING    | newer is gone  | TAKING
-    HANDING    | newer is gone  | TAKING     it died after its yes: its clients come back here
+    SHARING    | newer is mute  | TAKING     gone, silent, or it ends
+    HANDING    | newer starts   | SHARING    the one that took is gone, and another one begins
+    HANDING    | newer is mute  | TAKING     it fell silent after its yes: its clients come back here
     any        | is to end      | ENDING
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -50,7 +56,7 @@
     MAY_SERVE = "may serve"
     NEWER_STARTS = "newer starts"
     NEWER_TAKES = "newer takes"
-    NEWER_GONE = "newer is gone"
+    NEWER_MUTE = "newer is mute"
     TO_END = "is to end"
 
 
@@ -59,10 +65,12 @@
     (State.TAKING, Event.NEWER_STARTS): State.SHARING,
     (State.TAKING, Event.NEWER_TAKES): State.HANDING,
     (State.SHARING, Event.NEWER_TAKES): State.HANDING,
-    (State.SHARING, Event.NEWER_GONE): State.TAKING,
-    (State.HANDING, Event.NEWER_GONE): State.TAKING,
+    (State.SHARING, Event.NEWER_MUTE): State.TAKING,
+    (State.HANDING, Event.NEWER_STARTS): State.SHARING,
+    (State.HANDING, Event.NEWER_MUTE): State.TAKING,
     **{(state, Event.TO_END): State.ENDING for state in State},
 }
+LEADING = frozenset((State.TAKING, State.SHARING))
 SERVING = frozenset((State.TAKING, State.SHARING, State.HANDING))  # and so it says
 
 
@@ -76,7 +84,8 @@
         beat_ns: when this was written.
         state: of its hand-over.
         sees: live processes that it has made room for, itself among them; it takes one part in so many.
-        most: descriptors that it may hold.
+        most: descriptors that it holds at most, or is about to take.
+        place: of its listener in the group at the clients' address; None while it has none there.
     """
 
     name: str
@@ -85,6 +94,7 @@
     state: State
     sees: tuple[str, ...]
     most: int
+    place: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +105,7 @@
         parts: live processes, this one among them: it may take one part in so many of the messages' memory.
         most: descriptors that it may hold.
         newer_takes: whether clients are better off with a newer process.
+        leads: whether new clients should come to this one.
         arrived: whether an older or newer process has come into view since the last look.
         may_serve: whether this one may begin to take clients.
     """
@@ -102,10 +113,16 @@
     parts: int
     most: int
     newer_takes: bool
+    leads: bool
     arrived: bool
     may_serve: bool
 
 
+def speaks(sign: Sign, now_ns: int) -> bool:
+    """Whether a process has shown itself of late; a time to come is of another boot of the machine."""
+    return 0 <= now_ns - sign.beat_ns < STALE_NS
+
+
 class Handover:
     """One process's side of it."""
 
@@ -114,46 +131,58 @@
         self.born_ns = born_ns
         self.state = State.STARTING
         self.sees: tuple[str, ...] = (name,)
-        self.most = 0
+        self.most = 0  # descriptors that it may hold
+        self.claim = 0  # ... and that its sign says
 
-    def sign(self, now_ns: int) -> Sign:
-        """What to show now."""
-        return Sign(self.name, self.born_ns, now_ns, self.state, self.sees, self.most)
+    def sign(self, now_ns: int, place: int | None = None) -> Sign:
+        """What to show now; `place` as in `Sign`."""
+        return Sign(self.name, self.born_ns, now_ns, self.state, self.sees, self.claim, place)
 
-    def look(self, now_ns: int, signs: Iterable[Sign], whole: int, held: int) -> View:
+    def look(
+        self, now_ns: int, signs: Iterable[Sign], whole: int, held: int, living: Collection[str] = ()
+    ) -> View:
         """Take what the others show.
 
         Args:
+            signs: of all but those that are known to be gone.
             whole: descriptors that the sidecar may hold.
             held: of these, what this process can't do without just now.
+            living: names of processes that are known to live, whether they speak or not.
         """
         signs = sorted(signs, key=lambda sign: (sign.born_ns, sign.name))[-OTHERS_MOST:]
         mine = (self.born_ns, self.name)
         # One that was alone until now has not had to show that it lives.
         older = [sign for sign in signs if (sign.born_ns, sign.name) < mine]
-        others = [sign for sign in signs if sign.name != self.name and now_ns - sign.beat_ns < STALE_NS]
+        others = [
+            sign for sign in signs if sign.name != self.name and (sign.name in living or speaks(sign, now_ns))
+        ]
         newer = [sign for sign in others if (sign.born_ns, sign.name) > mine]
         before, self.sees = self.sees, (self.name, *(sign.name for sign in others))
-        newer_takes = any(sign.state in SERVING for sign in newer)
+        heard = {sign.state for sign in newer if speaks(sign, now_ns)}
+        newer_takes = not heard.isdisjoint(SERVING)
         if newer_takes:
             self._go(Event.NEWER_TAKES)
-        elif any(sign.state is State.STARTING for sign in newer):
+        elif State.STARTING in heard:
             self._go(Event.NEWER_STARTS)
-        elif not newer:
-            self._go(Event.NEWER_GONE)
+        else:  # none that is heard will take clients
+            self._go(Event.NEWER_MUTE)
+        room = max(whole - sum(sign.most for sign in others), 0)
         if newer:
             self.most = min(self.most, max(held, whole // 2), int(OLDER_MOST * whole))
             if newer_takes:
                 self.most = min(self.most, held)
-        else:
-            self.most = max(whole - sum(sign.most for sign in others), 0)
+            self.claim = self.most
+        elif self.state is not State.ENDING:
+            self.most = min(max(self.most, self.claim), room)
+            self.claim = room
         made_room = all(self.name in sign.sees for sign in older)
         return View(
             parts=len(self.sees),
             most=self.most,
             newer_takes=newer_takes,
+            leads=self.state in LEADING,
             arrived=any(name not in before for name in self.sees),
-            may_serve=made_room or now_ns - self.born_ns >= ROOM_WAIT_NS,
+            may_serve=(made_room and self.most >= room) or now_ns - self.born_ns >= ROOM_WAIT_NS,
         )
 
     def serves(self) -> None:
@@ -161,7 +190,9 @@
         self._go(Event.MAY_SERVE)
 
     def ends(self) -> None:
-        """Its planned end has begun."""
+        """Its planned end has begun. One that has not served yet never will, and claims nothing."""
+        if self.state is State.STARTING:
+            self.most = self.claim = 0
         self._go(Event.TO_END)
 
     def _go(self, event: Event) -> None:
--- a/dykefold/control/presence.py
+++ b/dykefold/control/presence.py
@@ -46,15 +46,24 @@
         """Whether another process may listen at the same addresses."""
         return self.address is not None
 
-    async def begin(self) -> None:
-        """Open the door, and wait until older processes have made room. Raises OSError if it can't be."""
+    async def begin(self) -> bool:
+        """Open the door, and wait until older processes have made room.
+
+        Returns:
+            False if the process was told to end meanwhile: it never listens, and what it might have claimed
+            stays with the others.
+
+        Raises:
+            OSError: the door can't be opened.
+        """
         if self.address is None:
-            return
+            return True
         sock = socket.create_server(self.address, backlog=DESCRIPTORS)
         self.door = Door(self.loop, sock, Operator(self.engine, self.upgrade))
         log.info("the door is at %s:%d", *self.door.address)
         if self.upgrade is not None:
             await self.upgrade.make_room()
+        return not self.engine.draining
 
     def listen(self, address: Address) -> Address:
         """Take clients at an address; where it is. Raises OSError if it can't be."""
--- a/dykefold/control/upgrade.py
+++ b/dykefold/control/upgrade.py
@@ -14,6 +14,7 @@
 from .estimates import restore, snapshot
 from .handover import LOOK_NS, Handover, Sign, State, View
 from .maintenance import OUT_MOST, Said
+from .places import Places
 
 log = logging.getLogger("dykefold.control")
 
@@ -34,7 +35,10 @@
         born_ns = self.now_ns()
         self.handover = Handover(f"{born_ns:020d}-{os.getpid()}", born_ns)
         self.parts = 1
-        self.others: dict[str, Sign] = {}
+        self.others: dict[str, Sign] = {}  # of the processes that live
+        self.sock: socket.socket | None = None  # that clients come to
+        self.places = Places()
+        self.steers = False
         self.told: dict[str, int] = {}  # versions of the lists that others can read
         self.timer: asyncio.TimerHandle | None = None
 
@@ -42,8 +46,10 @@
 
     async def make_room(self) -> None:
         """Wait until older processes leave this one its part of the limits, or are seen to be gone."""
+        self.board.hold(self._file)
         self.keep()
-        while not self._look().may_serve:
+        while not self._look().may_serve and not self.engine.draining:
+            self.keep()  # what it is about to take, before it does
             await asyncio.sleep(LOOK_S / 4)
         older = [sign for sign in self.others.values() if sign.born_ns < self.handover.born_ns]
         if older:
@@ -59,25 +65,49 @@
     def takes(self, sock: socket.socket) -> None:
         """This process takes clients on a listening socket: new ones come to it from now on."""
         self.handover.serves()
-        older = [sign for sign in self.others.values() if sign.born_ns < self.handover.born_ns]
-        if older:
-            from .steering import steer  # not needed where there is nobody to take over from
-
-            try:
-                steer(sock, len(older))
-            except OSError as error:
-                log.warning("new connections are shared with the older process: %s", error.strerror)
-            log.info("takes over from %s", ", ".join(sign.name for sign in older))
+        self.sock = sock
+        self.places.joins(self._listening())
+        if self.others:
+            log.info("takes over from %s", ", ".join(self.others))
+        self._steer(leads=True)
         self.keep()
         self._tick()
 
+    def _listening(self) -> dict[str, int]:
+        """The places of the other processes' listeners."""
+        return {name: sign.place for name, sign in self.others.items() if sign.place is not None}
+
+    def _steer(self, leads: bool) -> None:
+        """Have new connections come here, while they could come to another process as well.
+
+        It is done at each look: whoever came to lead meanwhile has turned them to itself.
+        """
+        others = self._listening()
+        place = self.places.look(others)
+        if self.sock is None or self.engine.listener is None or not leads or not others:
+            return
+        from .steering import let_chance, steer  # not needed where there is nobody to take over from
+
+        try:
+            if place is None:
+                let_chance(self.sock)
+            else:
+                steer(self.sock, place)
+        except OSError as error:
+            if self.steers:
+                log.warning("new connections are shared with other processes: %s", error.strerror)
+            self.steers = False
+        else:
+            self.steers = True
+
     # While it runs
 
     def _tick(self) -> None:
         # A process that is alone looks at one time of one folder, ten times a second.
         if self.others or self.board.changed():
+            claim = self.handover.claim
             self._look()
-            if self.others:
+            if self.others or claim != self.handover.claim:
                 self.keep()
         self.timer = self.loop.call_later(LOOK_S, self._tick)
 
@@ -90,13 +120,21 @@
             if name != self._file:
                 self._merge(read_said(word))
         engine = self.engine
-        view = self.handover.look(now_ns, signs.values(), engine.sockets, engine.needed())
+        lives = {sign.name: self.board.held(name) for name, sign in signs.items() if name != self._file}
+        view = self.handover.look(
+            now_ns,
+            [sign for sign in signs.values() if lives.get(sign.name) is not False],
+            engine.sockets,
+            engine.needed(),
+            [name for name, held in lives.items() if held],
+        )
         self.others = {sign.name: sign for sign in signs.values() if sign.name in view_names(self.handover)}
         if view.parts != self.parts:
             log.info("one of %d processes of this sidecar", view.parts)
             self.parts = view.parts
         engine.share(view.parts, view.most)
         self.engine.handing = view.newer_takes
+        self._steer(view.leads)
         if view.arrived:
             pools = {pool.label: snapshot(pool.balancer, pool.names) for pool in self.engine.pools}
             self.board.write(f"state-{self.handover.name}", {"pools": pools})
@@ -104,7 +142,7 @@
             self._hear_lists(name, words[f"sign-{name}"])
         if now_ns - self.handover.born_ns > FORGET_NS:
             for sign in signs.values():
-                if sign.name != self.handover.name and sign.beat_ns < self.handover.born_ns:
+                if sign.name not in self.handover.sees and sign.beat_ns < self.handover.born_ns:
                     for kind in ("sign", "list", "state"):
                         self.board.remove(f"{kind}-{sign.name}")
         return view
@@ -144,7 +182,8 @@
         said: dict[str, Said] = {}
         for pool in self.engine.pools:
             said |= pool.maintenance.said
-        word = sign_word(self.handover.sign(self.now_ns()), said)
+        place = self.places.mine if self.engine.listener is not None else None
+        word = sign_word(self.handover.sign(self.now_ns(), place), said)
         return self.board.write(self._file, {**word, "lists": self._tell_lists()})
 
     # The end
@@ -188,6 +227,7 @@
         "state": sign.state.value,
         "sees": list(sign.sees),
         "most": sign.most,
+        "place": sign.place,
         "said": {name: [one.at_ns, one.out] for name, one in said.items()},
     }
 
@@ -202,6 +242,7 @@
             State(word["state"]),
             tuple(str(name) for name in word["sees"]),
             max(int(word["most"]), 0),
+            None if word.get("place") is None else int(word["place"]),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/dykefold/lab/emulator/__main__.py
+++ b/dykefold/lab/emulator/__main__.py
@@ -37,7 +37,7 @@
             arrival.came_s -= began_s
             arrival.began_s = arrival.began_s - began_s if arrival.began_s >= 0 else -1.0
             arrival.ended_s = arrival.ended_s - began_s if arrival.ended_s >= 0 else -1.0
-    print(msgspec.json.encode(truth).decode(), flush=True)
+    print(msgspec.json.encode({"arrivals": truth.arrivals}).decode(), flush=True)
 
 
 if __name__ == "__main__":
--- a/dykefold/lab/emulator/server.py
+++ b/dykefold/lab/emulator/server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -33,6 +34,7 @@
     began_s: float = -1.0
     ended_s: float = -1.0
     answer: str = ""  # as it was sent: served, full, garbage, reset, lost; empty: nothing was sent
+    overlaps: bool = False  # an earlier attempt of its request still stood on its connection
 
 
 @dataclass(slots=True)
@@ -40,6 +42,19 @@
     """Every attempt that reached any server, by server."""
 
     arrivals: dict[str, list[Arrival]] = field(default_factory=dict)
+    out: dict[str, list[Connection]] = field(default_factory=dict)  # by request id, with no answer yet
+
+    def came(self, ident: str, connection: Connection) -> bool:
+        """An attempt has come; whether an earlier one of its request still stands."""
+        standing = [other for other in self.out.get(ident, ()) if other.stands()]
+        self.out[ident] = [*standing, connection]
+        return bool(standing)
+
+    def over(self, ident: str, connection: Connection) -> None:
+        """An attempt has its answer, or its connection is gone."""
+        left = [other for other in self.out.pop(ident, ()) if other is not connection]
+        if left:
+            self.out[ident] = left
 
     def effects(self) -> dict[str, list[tuple[float, str]]]:
         """Request id -> when and where its work began."""
@@ -59,6 +74,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.target = b""
         self.headers: dict[bytes, bytes] = {}
+        self.ident = ""  # of the attempt that has no answer yet
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -67,6 +83,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.connections.discard(self)
+        self.server.truth_of_all.over(self.ident, self)
         del self.parser
 
     def data_received(self, data: bytes) -> None:
@@ -86,7 +103,21 @@
         self.target, self.headers = b"", {}
         self.server.arrived(self, target, headers)
 
+    def stands(self) -> bool:
+        """Whether the other side has not ended it, as the kernel knows (what the loop knows is older)."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or self.transport.is_closing():
+            return False
+        with socket.socket(fileno=os.dup(sock.fileno())) as same:
+            try:
+                return bool(same.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+            except BlockingIOError:
+                return True
+            except OSError:
+                return False
+
     def answer(self, code: int, body: bytes, lines: bytes = b"") -> None:
+        self.server.truth_of_all.over(self.ident, self)
         if not self.transport.is_closing():
             head = b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n" % (code, lines, len(body))
             self.transport.write(head + body)
@@ -111,6 +142,7 @@
         self.chance = generator(scenario.seed, "server", name)
         self.draws: dict[str, list[float]] = {}
         self.faults: list[FaultTable] = []  # that hold now
+        self.truth_of_all = truth
         self.truth = truth.arrivals.setdefault(name, [])
         self.connections: set[Connection] = set()
         self.started_s = -1e9  # long ago: warm
@@ -135,6 +167,8 @@
             connection.answer(404, b"no such class, or no id")
             return
         arrival = Arrival(ident, cls, self.loop.time())
+        connection.ident = ident
+        arrival.overlaps = self.truth_of_all.came(ident, connection)
         self.truth.append(arrival)
         if self._holds("silence"):
             return
--- /dev/null
+++ b/dykefold/lab/fleet/judge.py
@@ -0,0 +1,141 @@
+"""The four rules over a fleet, judged by what servers did and desks got. No I/O.
+
+What a process held when it was killed is its clients' to ask again, and one that was stopped can't answer
+meanwhile: the rig tells which desks that excuses, and when. Nothing excuses an effect that happens twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import Protocol
+
+from ..scenario import ClassTable
+from .desk import Asked, End
+
+SLACK_S = 0.05  # each time limit is longer by that on sockets (PROTOCOL)
+ATTEMPTS_MOST = 3
+
+
+class Arrived(Protocol):
+    """An attempt that reached a server; `began_s` negative: it never ran."""
+
+    ident: str
+    cls: str
+    came_s: float
+    began_s: float
+    overlaps: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Excuse:
+    """A desk whose sidecar was killed, or stood still, in this time."""
+
+    desk: int
+    from_s: float
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Ban:
+    """A server that the sidecar of a desk is to leave alone in this time, its grace included."""
+
+    desk: int
+    server: str
+    from_s: float
+    until_s: float = float("inf")
+
+
+@dataclass(slots=True)
+class Verdict:
+    """What a run shows.
+
+    Attributes:
+        counts: of requests by how they ended.
+        lost: requests that were taken and had no whole answer in time, with no excuse.
+        excused: ... with one.
+        violations: of the other rules, a line each.
+        gap_s: the longest time between two served answers.
+        gap_from_s: when that began.
+    """
+
+    counts: dict[str, int] = field(default_factory=dict)
+    lost: list[str] = field(default_factory=list)
+    excused: int = 0
+    violations: list[str] = field(default_factory=list)
+    gap_s: float = 0.0
+    gap_from_s: float = 0.0
+
+    @property
+    def broken(self) -> list[str]:
+        """Every rule that was broken."""
+        return [f"{ident} was lost" for ident in self.lost] + self.violations
+
+
+def judge(
+    asked: Sequence[Asked],
+    arrivals: Mapping[str, Sequence[Arrived]],
+    classes: Mapping[str, ClassTable],
+    excuses: Iterable[Excuse] = (),
+    bans: Iterable[Ban] = (),
+) -> Verdict:
+    """Put together what desks asked and got with what reached the servers, by their names."""
+    verdict = Verdict()
+    reached: dict[str, list[tuple[str, Arrived]]] = {}
+    for server, all_of in arrivals.items():
+        for arrival in all_of:
+            reached.setdefault(arrival.ident, []).append((server, arrival))
+    excused = list(excuses)
+    for one in asked:
+        verdict.counts[one.end] = verdict.counts.get(one.end, 0) + 1
+        tries = reached.get(one.ident, [])
+        lost = one.end in (End.LOST, End.LATE, End.OPEN) or (one.end is End.CROSSED and bool(tries))
+        if lost and _is_excused(one, excused):
+            verdict.excused += 1
+        elif lost:
+            verdict.lost.append(one.ident)
+        verdict.violations += _violations(one, tries, classes[one.cls])
+    by_ident = {one.ident: one for one in asked}
+    for ban in bans:
+        for arrival in arrivals.get(ban.server, ()):
+            of = by_ident.get(arrival.ident)
+            if of is not None and of.desk == ban.desk and ban.from_s + SLACK_S < arrival.came_s < ban.until_s:
+                late_ms = (arrival.came_s - ban.from_s) * 1000
+                verdict.violations.append(f"{arrival.ident} came to {ban.server} {late_ms:.0f} ms too late")
+    _measure_gap(verdict, asked)
+    return verdict
+
+
+def _is_excused(one: Asked, excuses: list[Excuse]) -> bool:
+    ended_s = one.ended_s if one.ended_s >= 0 else float("inf")
+    return any(
+        one.desk == excuse.desk and one.sent_s <= excuse.until_s and ended_s >= excuse.from_s
+        for excuse in excuses
+    )
+
+
+def _violations(one: Asked, tries: list[tuple[str, Arrived]], table: ClassTable) -> list[str]:
+    found = []
+    ran = sorted((arrival.began_s, server) for server, arrival in tries if arrival.began_s >= 0)
+    where = ", ".join(f"{server} at {at:.3f} s" for at, server in ran)
+    if len(tries) > ATTEMPTS_MOST:
+        found.append(f"{one.ident} was sent {len(tries)} times")
+    if any(arrival.overlaps for _, arrival in tries):
+        found.append(f"{one.ident} had two attempts out at once")
+    if table.effect == "unsafe" and len(ran) > 1:
+        found.append(f"{one.ident} ({one.cls}) ran {len(ran)} times: {where}")
+    if table.effect == "keyed" and len(ran) > 1 and ran[-1][0] - ran[0][0] > table.window_ms / 1000 + SLACK_S:
+        found.append(f"{one.ident} ({one.cls}) ran beyond its window: {where}")
+    if one.end is End.SERVED and (one.body != one.ident or not ran):
+        found.append(f"{one.ident} was answered with {one.body!r}, and ran at: {where}")
+    if one.end is End.REFUSED and table.effect == "unsafe" and ran:
+        found.append(f"{one.ident} ({one.cls}) was refused and ran: {where}")
+    return found
+
+
+def _measure_gap(verdict: Verdict, asked: Sequence[Asked]) -> None:
+    times = sorted(one.ended_s for one in asked if one.end is End.SERVED)
+    for before, after in pairwise(times):
+        if after - before > verdict.gap_s:
+            verdict.gap_s, verdict.gap_from_s = after - before, before
--- /dev/null
+++ b/dykefold/lab/fleet/member.py
@@ -0,0 +1,127 @@
+"""A sidecar of the rig: its file, its folder, and its processes, one after the other or two at once."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from ..scenario import ClassTable
+from .process import DESCRIPTORS_APART, Address, Peak, Process
+
+MS = 1_000_000
+EFFECTS = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
+LOOPBACK = "127.0.0.1"
+SAMPLE_S = 0.005  # between two looks at what processes hold
+
+
+def settings(
+    classes: Mapping[str, ClassTable],
+    zones: list[str],
+    zone: int = 0,
+    index: int = 0,
+    fleet: int = 1,
+    peers: bool = False,
+) -> dict[str, Any]:
+    """What the platform tells a sidecar of its deployment, in the names of its wire."""
+    return {
+        "accounts": [],
+        "ceilings": {
+            "cancel": True,
+            "conn-idle-ns": 15_000 * MS,
+            "connect-timeout-ns": 250 * MS,
+            "max-retry-after-ns": 1000 * MS,
+            "retry-after": True,
+            "peers": peers,
+            "second-copies": False,
+            "send-cap": 3,
+        },
+        "classes": [
+            {
+                "name": name,
+                "deadline-ns": table.deadline_ms * MS,
+                "objective-ns": table.aim_ms * MS,
+                "repeat": EFFECTS[table.effect],
+                "key-scope": "cell",
+                "window-ns": table.window_ms * MS,
+                "points": 10.0 if table.effect == "unsafe" else 1.0,
+                "late-value": 0.25,
+                "stream": False,
+            }
+            for name, table in classes.items()
+        ],
+        "dcs": zones,
+        "kinds": ["std"],
+        "my-zone": zone,
+        "index": index,
+        "discovery": "ask",
+        "fleet-size": fleet,
+        "rules": {"must-ask-in-ns": 10_000 * MS, "drain-grace-ns": 500 * MS},
+        "telemetry": {"columns": ["rps", "cpu"], "how": "piggyback"},
+        "tick-ns": 1 * MS,
+    }
+
+
+def entry(name: str, address: str, zone: str, status: str = "SERVING", since_ms: int = 0) -> dict[str, Any]:
+    """A server as discovery tells of it (PROTOCOL, Discovery)."""
+    return {
+        "name": name,
+        "address": address,
+        "zone": zone,
+        "type": "std",
+        "group": 1,
+        "status": status,
+        "weight": 1.0,
+        "since_ms": since_ms,
+    }
+
+
+class Member:
+    """One sidecar, whichever of its processes lives."""
+
+    def __init__(self, number: int, folder: Path, data: dict[str, Any]) -> None:
+        """Prepare.
+
+        Args:
+            folder: of its own, which exists.
+            data: its configuration; `listen` is kept from the first process on.
+        """
+        self.number = number
+        self.folder = folder
+        self.data = data
+        self.processes: list[Process] = []
+        self.peak = Peak()  # of all its processes together
+        (folder / "tmp").mkdir(exist_ok=True)
+
+    @property
+    def living(self) -> list[Process]:
+        return [process for process in self.processes if process.alive]
+
+    async def start(self, **more: Any) -> Process:
+        """Start one more process with this file, beside those that live; it is not waited for."""
+        path = self.folder / f"config{len(self.processes)}.json"
+        path.write_text(json.dumps({**self.data, **more}))
+        environment = {"GW_CONFIG": str(path), "TMPDIR": str(self.folder / "tmp")}
+        process = Process(environment, self.data["limits"]["sockets"] + DESCRIPTORS_APART)
+        self.processes.append(process)
+        await process.start()
+        return process
+
+    async def begin(self) -> Address:
+        """Start the first process; the address that it and all that follow it listen at."""
+        address = await (await self.start()).listens()
+        self.data["listen"] = f"{address[0]}:{address[1]}"
+        return address
+
+    async def watch(self) -> None:
+        """Look at what its processes hold together, until cancelled."""
+        while True:
+            held = [process.held() for process in self.living]
+            self.peak.see(sum(one[0] for one in held), sum(one[1] for one in held))
+            await asyncio.sleep(SAMPLE_S)
+
+    async def close(self) -> None:
+        for process in self.processes:
+            await process.close()
--- /dev/null
+++ b/dykefold/lab/fleet/upgrades.py
@@ -0,0 +1,292 @@
+"""Upgrades of one sidecar under load, with faults put between its two processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ..chance import generator
+from ..emulator.server import Server, Truth
+from ..scenario import ClassTable, LoadTable, Scenario, ServerTable, ServiceTable
+from .desk import Desk, End, all_asked, playing
+from .judge import Ban, Excuse, Verdict, judge
+from .member import LOOPBACK, Member, entry, settings
+from .process import Process, call
+
+QUICK = ServiceTable(kind="exponential", mean_ms=4.0)
+CLASSES = {
+    "lookup": ClassTable(share=3.0, aim_ms=300, deadline_ms=1000, service=QUICK),
+    "hold": ClassTable(effect="keyed", aim_ms=300, deadline_ms=800, window_ms=400, service=QUICK),
+    "order": ClassTable(effect="unsafe", share=2.0, aim_ms=400, deadline_ms=1200, service=QUICK),
+}
+GRACE_S = 0.5  # of a drain, as the sidecars are told
+YES_S = 6.0  # within which a new process says yes (DAYS)
+KILL_S = 1.9  # after SIGTERM: the longest deadline and 0.7 s
+STOP_S = 2.0
+DEATH_S = 0.1  # in which a killed process's clients hear of it
+
+
+@dataclass(slots=True)
+class World:
+    """One sidecar with its desk, its servers, and what is known of them."""
+
+    member: Member
+    desk: Desk
+    servers: dict[str, Server]
+    truth: Truth
+    excuses: list[Excuse] = field(default_factory=list)
+    bans: list[Ban] = field(default_factory=list)
+
+    def verdict(self) -> Verdict:
+        return judge(list(all_asked([self.desk])), self.truth.arrivals, CLASSES, self.excuses, self.bans)
+
+    # Faults
+
+    def kill(self, process: Process) -> None:
+        """Kill a process: what it holds is for its clients to ask again."""
+        now_s = asyncio.get_running_loop().time()
+        process.kill()
+        self.excuses.append(Excuse(self.desk.number, now_s, now_s + DEATH_S))
+
+    async def stop(self, process: Process, span_s: float = STOP_S) -> None:
+        """Have a process stand still for a time; what it holds may be late by that."""
+        now_s = asyncio.get_running_loop().time()
+        process.stop()
+        await asyncio.sleep(span_s)
+        process.go_on()
+        self.excuses.append(Excuse(self.desk.number, now_s, now_s + span_s + DEATH_S))
+
+    # An upgrade's steps
+
+    async def says_yes(self, process: Process) -> None:
+        """Wait until a process takes clients. Raises TimeoutError after `YES_S`."""
+        async with asyncio.timeout(YES_S):
+            while not await self.takes(process):
+                await asyncio.sleep(0.01)
+
+    async def takes(self, process: Process) -> bool:
+        """Whether a process says at its door that it takes clients."""
+        if process.door is None:
+            return False
+        with contextlib.suppress(OSError, TimeoutError):
+            return await call(process.door, "GET /healthcheck", 0.5) == 200
+        return False
+
+    async def end(self, process: Process) -> None:
+        """End a process as the platform does: SIGTERM, and SIGKILL after its time."""
+        process.terminate()
+        try:
+            async with asyncio.timeout(KILL_S):
+                await process.ended()
+        except TimeoutError:
+            process.kill()
+            await process.ended()
+
+    async def upgrade(self) -> Process:
+        """The next process in place of the present one."""
+        old = self.member.living[-1]
+        new = await self.member.start()
+        await self.says_yes(new)
+        await self.end(old)
+        return new
+
+    async def ban(self, process: Process, server: str) -> None:
+        """Take a server out at a process's door."""
+        assert process.door is not None
+        assert await call(process.door, f"POST /servers/{server}/maint") == 200
+        self.bans.append(Ban(self.desk.number, server, asyncio.get_running_loop().time() + GRACE_S))
+
+    def served(self) -> int:
+        return sum(asked.end is End.SERVED for asked in self.desk.asked)
+
+    async def serves_on(self, more: int = 20, within_s: float = 10.0) -> None:
+        """Wait until so many more requests were served. Raises TimeoutError if they are not."""
+        aim = self.served() + more
+        async with asyncio.timeout(within_s):
+            while self.served() < aim:
+                await asyncio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def world(
+    folder: Path,
+    rate: float = 150.0,
+    new_share: float = 0.5,
+    servers: int = 3,
+    memory_mb: int = 192,
+    sockets: int = 512,
+    seed: int = 1,
+) -> AsyncIterator[World]:
+    """A sidecar that serves under load; the load ends, and all is let go of, behind it."""
+    scenario = Scenario(
+        [ServerTable("std", count=servers, cores=4)], CLASSES, LoadTable(rate=rate), seed=seed, span_s=60.0
+    )
+    truth = Truth()
+    made = {name: Server(scenario, name, truth) for name in scenario.server_names()}
+    for server in made.values():
+        await server.listen()
+    listed = [entry(name, f"{LOOPBACK}:{server.port}", "a") for name, server in made.items()]
+    data = {
+        "name": "n0",
+        "listen": f"{LOOPBACK}:0",
+        "control": f"{LOOPBACK}:0",
+        "discovery": f"{LOOPBACK}:9",  # nobody: the list that it starts with holds
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
+        "peers": [],
+        "known": {"index": 1, "snapshot": True, "endpoints": listed},
+        "settings": settings(CLASSES, ["a", "b"]),
+    }
+    member = Member(0, folder, data)
+    desk = Desk(0, CLASSES, rate, generator(seed, "desk"), new_share)
+    watch: asyncio.Task[None] | None = None
+    try:
+        desk.address = await member.begin()
+        watch = asyncio.get_running_loop().create_task(member.watch())
+        made_world = World(member, desk, made, truth)
+        async with playing([desk]):
+            await made_world.serves_on()
+            yield made_world
+    finally:
+        if watch is not None:
+            watch.cancel()
+        for process in member.processes:
+            if process.alive:
+                process.signal(signal.SIGCONT)
+        await member.close()
+        for server in made.values():
+            if server.listening is not None:
+                server.listening.close()
+
+
+Fault = Callable[[World], Awaitable[None]]
+
+
+async def alone(it: World) -> None:
+    """No fault."""
+    await it.upgrade()
+
+
+async def new_killed_before_yes(it: World) -> None:
+    new = await it.member.start()
+    await new.says("the door is at")
+    it.kill(new)
+
+
+async def new_killed_at_yes(it: World) -> None:
+    new = await it.member.start()
+    await it.says_yes(new)
+    it.kill(new)
+
+
+async def new_killed_after_yes(it: World) -> None:
+    new = await it.member.start()
+    await it.says_yes(new)
+    await it.serves_on(60)
+    it.kill(new)
+
+
+async def new_stopped_before_yes(it: World) -> None:
+    old, new = it.member.living[-1], await it.member.start()
+    await new.says("the door is at")
+    await it.stop(new)
+    await it.says_yes(new)
+    await it.end(old)
+
+
+async def new_stopped_at_yes(it: World) -> None:
+    old, new = it.member.living[-1], await it.member.start()
+    await it.says_yes(new)
+    await it.stop(new)
+    await it.end(old)
+
+
+async def new_stopped_after_yes(it: World) -> None:
+    old, new = it.member.living[-1], await it.member.start()
+    await it.says_yes(new)
+    await it.serves_on(60)
+    await it.stop(new)
+    await it.end(old)
+
+
+async def new_stopped_while_old_ends(it: World) -> None:
+    old, new = it.member.living[-1], await it.member.start()
+    await it.says_yes(new)
+    await asyncio.gather(it.end(old), it.stop(new))
+
+
+async def old_killed_while_it_ends(it: World) -> None:
+    old, new = it.member.living[-1], await it.member.start()
+    await it.says_yes(new)
+    old.terminate()
+    await old.says("draining")
+    it.kill(old)
+
+
+async def old_stopped_while_it_ends(it: World) -> None:
+    old, new = it.member.living[-1], await it.member.start()
+    await it.says_yes(new)
+    old.terminate()
+    await old.says("draining")
+    await it.stop(old, KILL_S)
+    it.kill(old)
+
+
+async def old_stopped_at_the_start(it: World) -> None:
+    old = it.member.living[-1]
+    begin = asyncio.get_running_loop().create_task(it.stop(old))
+    new = await it.member.start()
+    await it.says_yes(new)
+    await begin
+    await it.serves_on()
+    await it.end(old)
+
+
+async def three_at_once(it: World) -> None:
+    """A second upgrade before the first has ended."""
+    first = it.member.living[-1]
+    second = await it.member.start()
+    await it.says_yes(second)
+    third = await it.member.start()
+    first.terminate()
+    await it.says_yes(third)
+    await asyncio.gather(it.end(first), it.end(second))
+
+
+FAULTS: dict[str, Fault] = {
+    "alone": alone,
+    "new killed before its yes": new_killed_before_yes,
+    "new killed at its yes": new_killed_at_yes,
+    "new killed after its yes": new_killed_after_yes,
+    "new stopped before its yes": new_stopped_before_yes,
+    "new stopped at its yes": new_stopped_at_yes,
+    "new stopped after its yes": new_stopped_after_yes,
+    "new stopped while the old one ends": new_stopped_while_old_ends,
+    "old killed while it ends": old_killed_while_it_ends,
+    "old stopped while it ends": old_stopped_while_it_ends,
+    "old stopped at the start": old_stopped_at_the_start,
+    "three at once": three_at_once,
+}
+
+
+@dataclass(slots=True)
+class Row:
+    """Of so many upgrades under one fault."""
+
+    upgrades: int
+    verdict: Verdict
+    memory_mb: float
+    descriptors: int
+
+
+async def measure(folder: Path, fault: str, upgrades: int, seed: int = 1) -> Row:
+    """Play one kind of upgrade again and again under load, each from a sidecar of one process."""
+    async with world(folder, seed=seed) as it:
+        for _ in range(upgrades):
+            await FAULTS[fault](it)
+            await it.serves_on()
+    return Row(upgrades, it.verdict(), it.member.peak.memory_bytes / 2**20, it.member.peak.descriptors)
--- a/tests/control/test_handover.py
+++ b/tests/control/test_handover.py
@@ -25,18 +25,23 @@
         self.shown = self.handover.sign(now)
 
     def look(self, now, lives):
+        self.read(now, [life.shown for life in lives if life is not self])
+        self.show(now)
+
+    def read(self, now, signs):
         if not self.alive:
             return
-        others = [life.shown for life in lives if life is not self]
-        self.view = self.handover.look(now, others, WHOLE, self.held)
-        if self.handover.state is State.STARTING:
-            if self.view.may_serve:
-                self.handover.serves()
-                self.parts = self.view.parts
-                self.shown = self.handover.sign(now)
-        else:
+        self.claimed, self.starting = self.handover.claim, self.handover.state is State.STARTING
+        self.view = self.handover.look(now, signs, WHOLE, self.held)
+        if self.starting and self.view.may_serve:
+            self.handover.serves()
+            self.parts = self.view.parts
+        if self.parts is not None:
             self.parts = self.view.parts
-        if self.view.parts > 1:  # alone it has nobody to show itself to
+
+    def show(self, now):
+        # One that is alone has nobody to show itself to.
+        if self.alive and (self.starting or self.view.parts > 1 or self.handover.claim != self.claimed):
             self.shown = self.handover.sign(now)
 
 
@@ -114,6 +119,24 @@
     assert lives[0].view.newer_takes and lives[1].view.newer_takes and not lives[2].view.newer_takes
 
 
+def test_one_that_stands_still_before_it_shows_its_claim_takes_nothing_of_it():
+    """Guards the whole against two that grow at once: each has read before the other has written."""
+    one, other = Life(0, 0), Life(1, MS)
+    one.read(MS, [])  # nobody else is there yet; now it is stopped
+    now = MS
+    while other.parts is None:
+        now += LOOK_NS
+        other.look(now, [one, other])
+    assert other.view.most == WHOLE
+    one.show(now)
+    for _ in range(6):  # it goes on
+        now += LOOK_NS
+        for life in (one, other):
+            life.look(now, [one, other])
+            assert one.view.most + other.view.most <= WHOLE
+    assert other.view.most == WHOLE - one.view.most and other.handover.state is State.TAKING
+
+
 def test_one_that_ends_never_takes_again():
     assert all(TABLE.get((State.ENDING, event), State.ENDING) is State.ENDING for event in Event)
 
@@ -167,6 +190,16 @@
         for life in lives:
             life.look(self.now, self.lives)
 
+    @rule()
+    def looks_at_once(self):
+        """All have read before any has written."""
+        self.now += MS
+        signs = [life.shown for life in self.lives]
+        for life in self.lives:
+            life.read(self.now, [sign for sign in signs if sign is not life.shown])
+        for life in self.lives:
+            life.show(self.now)
+
     @invariant()
     def what_is_taken_is_no_more_than_the_whole(self):
         serving = [life for life in self.lives if life.alive and life.parts]
--- /dev/null
+++ b/tests/control/test_handover_orders.py
@@ -0,0 +1,125 @@
+"""The hand-over over all orders of looks, deaths, stops and ends; and listeners' places by real sockets."""
+
+import contextlib
+import itertools
+import socket
+
+import pytest
+from net_helpers import HOST
+from test_upgrade import waiting
+
+from dykefold.control import handover
+from dykefold.control.places import Places
+from dykefold.control.steering import let_chance, steer
+from dykefold.sim.explore import explore
+from dykefold.sim.upgrades import Model
+
+
+@pytest.mark.parametrize(
+    ("model", "least"),
+    [
+        (Model(2, 2, 10), 40_000),
+        (Model(2, 3, 60), 42_000),
+        (Model(2, 2, 10, locks=False, stops=False), 8_000),
+    ],
+    ids=["two processes, two faults", "three faults, much held", "no locks, deaths alone"],
+)
+def test_no_order_breaks_the_hand_over(model, least):
+    """Three processes, two million orders: `benchmarks/upgrade.py --orders`."""
+    found = explore(model.first(), model.moves, model.wrong)
+    assert found.wrong is None, (found.wrong, found.path)
+    assert found.whole and found.states > least
+
+
+class Grasping(handover.Handover):
+    """It makes no room for a newer one."""
+
+    def look(self, now_ns, signs, whole, held, living=()):
+        most = self.most
+        view = super().look(now_ns, signs, whole, held, living)
+        self.most = max(self.most, most)
+        return view
+
+
+def test_a_hand_over_that_makes_no_room_is_found():
+    model = Model(2, 1, 10, kind=Grasping)
+    found = explore(model.first(), model.moves, model.wrong)
+    assert found.wrong is not None and found.wrong.startswith("descriptors")
+
+
+@pytest.mark.parametrize(
+    ("name", "change"),
+    [
+        (
+            "one that ends comes back",
+            lambda patch: patch.setitem(
+                handover.TABLE,
+                (handover.State.ENDING, handover.Event.NEWER_MUTE),
+                handover.State.TAKING,
+            ),
+        ),
+        (
+            "a newer one that is mute keeps the clients",
+            lambda patch: patch.delitem(handover.TABLE, (handover.State.HANDING, handover.Event.NEWER_MUTE)),
+        ),
+        ("nobody is ever mute", lambda patch: patch.setattr(handover, "speaks", lambda sign, now_ns: True)),
+    ],
+    ids=lambda value: value if isinstance(value, str) else "",
+)
+def test_a_fault_in_the_hand_over_is_found(monkeypatch, name, change):
+    with monkeypatch.context() as patch:
+        change(patch)
+        model = Model(2, 1, 10)
+        found = explore(model.first(), model.moves, model.wrong)
+    assert found.wrong is not None, name
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(range(3), 2)))
+def test_a_place_is_where_the_kernel_has_the_listener(order):
+    """By real sockets: three that share an address, two of them closed in this order."""
+    with contextlib.ExitStack() as stack:
+        first = stack.enter_context(socket.create_server((HOST, 0), backlog=64, reuse_port=True))
+        address = first.getsockname()
+        more = [socket.create_server(address, backlog=64, reuse_port=True) for _ in range(2)]
+        socks = dict(enumerate([first, *(stack.enter_context(sock) for sock in more)]))
+        places = {number: Places() for number in socks}
+        shown = {}
+        for number, place in places.items():
+            place.joins(dict(shown))
+            shown[str(number)] = place.mine
+        for going in order:
+            for number in list(socks):  # each looks, and shows what it has found
+                shown[str(number)] = places[number].look({k: v for k, v in shown.items() if k != str(number)})
+            socks.pop(going).close()
+            del shown[str(going)]
+            for _ in range(2):
+                for number in socks:
+                    others = {k: v for k, v in shown.items() if k != str(number)}
+                    shown[str(number)] = places[number].look(others) if None not in others.values() else None
+                    shown[str(number)] = places[number].mine
+            for number, sock in socks.items():
+                steer(sock, places[number].mine)
+                for _ in range(8):
+                    stack.enter_context(socket.create_connection(address))
+                assert waiting(sock) == 8, (order, going, number)
+
+
+def test_who_can_not_tell_its_place_lets_chance_decide():
+    places = Places()
+    places.joins({"a": 0, "b": 1, "c": 2})
+    assert places.look({"a": 0, "b": 1, "c": 2}) == 3
+    assert places.look({"c": 2}) is None  # two have left, in an order that nobody saw
+    assert places.look({}) is None or places.mine == 0
+    with socket.create_server((HOST, 0), reuse_port=True) as sock:
+        let_chance(sock)  # no filter is no error
+        steer(sock, 0)
+        let_chance(sock)
+
+
+def test_a_place_that_another_one_still_shows_is_not_believed_yet():
+    places = Places()
+    places.joins({"a": 0, "b": 1})
+    assert places.look({"b": 1}) == 0
+    other = Places()
+    other.joins({"a": 0})
+    assert other.look({"a": 0, "c": 1}) is None and other.look({"a": 0, "c": 2}) == 1
--- /dev/null
+++ b/tests/control/test_upgrade_faults.py
@@ -0,0 +1,234 @@
+"""Two processes of the program as one sidecar, with faults between them, judged from the servers' side."""
+
+import asyncio
+import contextlib
+import json
+import os
+
+import pytest
+from net_helpers import run, until
+
+from dykefold.lab.fleet.judge import Ban, Excuse, judge
+from dykefold.lab.fleet.process import call
+from dykefold.lab.fleet.upgrades import CLASSES, FAULTS, GRACE_S, YES_S, world
+
+FREE = 2  # requests that an upgrade may lose (DAYS)
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_under_each_fault_the_rules_hold_and_service_goes_on(tmp_path, fault):
+    async def play():
+        async with world(tmp_path) as it:
+            await FAULTS[fault](it)
+            await it.serves_on()
+            # Whoever is left has all of the limits, and takes the next upgrade as any other.
+            (left,) = it.member.living
+            assert await call(left.door, "GET /healthcheck") == 200
+            await it.upgrade()
+            await it.serves_on()
+        verdict = it.verdict()
+        assert not verdict.violations
+        assert len(verdict.lost) <= FREE * 2, verdict.lost
+        assert all(b"Traceback" not in line.encode() for one in it.member.processes for line in one.lines)
+
+    run(play())
+
+
+@pytest.mark.parametrize("dies", ["old", "new"])
+@pytest.mark.parametrize("at", ["before the new one starts", "before its yes", "after its yes"])
+def test_a_ban_at_either_process_holds_whichever_dies_next(tmp_path, dies, at):
+    async def play():
+        async with world(tmp_path, rate=100.0) as it:
+            (old,) = it.member.living
+            if at == "before the new one starts":
+                await it.ban(old, "std-0")
+            new = await it.member.start()
+            await new.says("the door is at")
+            if at == "before its yes":
+                await it.ban(new, "std-0")  # the door is open before clients are taken
+            await it.says_yes(new)
+            if at == "after its yes":
+                await it.ban(new if dies == "new" else old, "std-0")
+            it.kill(new if dies == "new" else old)
+            await asyncio.sleep(GRACE_S)
+            await it.serves_on()
+            await it.upgrade()
+            await it.serves_on(40)
+        verdict = it.verdict()
+        assert not verdict.violations and len(verdict.lost) <= 2 * FREE
+        assert it.truth.arrivals["std-0"], "it was in use before"
+
+    run(play())
+
+
+def test_a_new_process_that_is_told_to_end_before_its_yes_never_listens(tmp_path):
+    async def play():
+        async with world(tmp_path) as it:
+            (old,) = it.member.living
+            old.stop()
+            new = await it.member.start()
+            await new.says("the door is at")
+            new.terminate()
+            assert await new.ended() == 0 and new.address is None
+            old.go_on()
+            it.excuses.append(Excuse(0, 0.0, asyncio.get_running_loop().time() + 1.0))
+            await it.serves_on()
+
+    run(play())
+
+
+def sign_of(it, process):
+    folder = it.member.folder / "tmp" / "dykefold"
+    return next(path for path in folder.glob("sign-*.json") if path.stem.endswith(f"-{process.pid}"))
+
+
+TORN = [
+    ("torn", lambda word: json.dumps(word)[:40]),
+    ("of a newer version", lambda word: json.dumps({**word, "version": 99})),
+    ("with a state that nobody knows", lambda word: json.dumps({**word, "state": "flying"})),
+    ("empty", lambda word: ""),
+]
+
+
+@pytest.mark.parametrize(("what", "spoil"), TORN, ids=[what for what, _ in TORN])
+def test_signs_that_can_not_be_read_keep_nobody_from_serving(tmp_path, what, spoil):
+    async def play():
+        async with world(tmp_path) as it:
+            (old,) = it.member.living
+            path = sign_of(it, old)
+            path.write_text(spoil(json.loads(path.read_text())))
+            new = await it.member.start()
+            await it.says_yes(new)
+            path.write_text(spoil({"name": "x", "version": 1}))
+            await it.end(old)
+            await it.serves_on()
+        verdict = it.verdict()
+        assert not verdict.violations and len(verdict.lost) <= FREE
+
+    run(play())
+
+
+def test_a_sign_that_a_dead_process_left_counts_for_nothing(tmp_path):
+    """Of another boot, with times that are still to come, under a process number that is in use again."""
+
+    async def play():
+        async with world(tmp_path) as it:
+            (old,) = it.member.living
+            path = sign_of(it, old)
+            word = json.loads(path.read_text())
+            born = word["born_ns"] + 10**15
+            ghost = f"{born:020d}-{os.getpid()}"
+            path.with_name(f"sign-{ghost}.json").write_text(
+                json.dumps({**word, "name": ghost, "born_ns": born, "beat_ns": born, "most": 512})
+            )
+            # A claim of a ghost would leave nothing to those who live.
+            await it.serves_on(100)
+            new = await it.upgrade()
+            await it.serves_on(100)
+            assert await call(new.door, "GET /healthcheck") == 200
+            assert json.loads(sign_of(it, new).read_text())["most"] == 512
+        verdict = it.verdict()
+        assert not verdict.violations and len(verdict.lost) <= FREE
+
+    run(play())
+
+
+def test_where_nothing_can_be_written_any_more_upgrades_go_on_and_bans_are_refused(tmp_path):
+    async def play():
+        async with world(tmp_path) as it:
+            (old,) = it.member.living
+            folder = it.member.folder / "tmp" / "dykefold"
+            # As on a full disk: no name can be made there, neither a sign nor a lock.
+            kept = folder.with_name("kept")
+            folder.rename(kept)
+            folder.write_text("")
+            assert await call(old.door, "POST /servers/std-0/maint") == 500
+            new = await it.member.start()
+            await it.says_yes(new)
+            await it.end(old)
+            await it.serves_on()
+        verdict = it.verdict()
+        assert not verdict.violations and len(verdict.lost) <= FREE
+
+    run(play())
+
+
+def test_both_processes_together_stay_within_half_the_limits(tmp_path):
+    async def play():
+        async with world(tmp_path, rate=250.0, memory_mb=96, sockets=256) as it:
+            for _ in range(2):
+                await it.upgrade()
+                await it.serves_on(60)
+            await FAULTS["new killed after its yes"](it)
+            await it.serves_on(60)
+        assert 0 < it.member.peak.descriptors <= 256
+        assert 0 < it.member.peak.memory_bytes <= 96 * 2**20
+        assert not it.verdict().violations
+
+    run(play())
+
+
+def test_upgrades_in_a_row_lose_next_to_nothing(tmp_path):
+    """`benchmarks/upgrade.py` plays twenty, alone and under each fault."""
+
+    async def play():
+        async with world(tmp_path, new_share=1.0) as it:
+            for _ in range(6):
+                await it.upgrade()
+            assert len(it.member.processes) == 7 and len(it.member.living) == 1
+        verdict = it.verdict()
+        assert not verdict.violations
+        assert len(verdict.lost) + verdict.counts.get("unsent", 0) <= FREE * 6
+
+    run(play())
+
+
+def test_the_judge_finds_what_was_lost_doubled_late_or_went_to_a_banned_server():
+    """Guards against a rig that sees no fault."""
+    from dykefold.lab.emulator.server import Arrival
+    from dykefold.lab.fleet.desk import Asked, End
+
+    def asked(ident, cls, end, sent_s=1.0, body=None):
+        return Asked(ident, cls, 0, sent_s, sent_s + 0.1, end, 200, ident if body is None else body)
+
+    all_asked = [
+        asked("twice", "order", End.SERVED),
+        asked("lost", "lookup", End.LOST),
+        asked("held", "lookup", End.LOST, 5.0),
+        asked("else", "lookup", End.SERVED, body="other"),
+        asked("refused", "order", End.REFUSED),
+        asked("crossed", "order", End.CROSSED),
+        asked("unread", "order", End.CROSSED),
+        asked("window", "hold", End.SERVED),
+        asked("banned", "lookup", End.SERVED, 9.0),
+        asked("copies", "lookup", End.SERVED),
+    ]
+    arrivals = {
+        "a": [Arrival(i, "x", 1.0, 1.0) for i in ("twice", "else", "refused", "crossed", "window", "copies")],
+        "b": [Arrival("twice", "order", 1.2, 1.2), Arrival("window", "hold", 2.0, 2.0)],
+        "c": [Arrival("banned", "lookup", 9.0, 9.0), Arrival("copies", "lookup", 1.0, -1.0, overlaps=True)],
+    }
+    found = judge(all_asked, arrivals, CLASSES, [Excuse(0, 5.0, 5.2)], [Ban(0, "c", 8.0)])
+    assert found.lost == ["lost", "crossed"] and found.excused == 1
+    assert [line.split()[0] for line in found.violations] == [
+        "twice", "else", "refused", "window", "copies", "banned",
+    ]  # fmt: skip
+
+
+def test_a_process_that_never_says_yes_is_noticed(tmp_path):
+    """Guards against a rig that waits for ever, or takes silence for a yes."""
+
+    async def play():
+        async with world(tmp_path) as it:
+            new = await it.member.start()
+            await new.says("the door is at")
+            new.stop()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await it.says_yes(new)
+                raise AssertionError("a stopped process said yes")
+            it.kill(new)
+            await until(lambda: not new.alive)
+            assert YES_S > 1.0
+
+    run(play())
