World `upgrade`: two processes of a sidecar in the simulation, and five faults that it found

Need: the hand-over was shown by state tables and by real processes, not under coincidences.

Change: processes of one sidecar share a machine, an address with the kernel's group of listeners and its filter, and a folder with locks that may be full; the platform's steps, bans and reloads come in the middle. Judged beside the four rules: descriptors of both together, claims, a yes within 6 s, somebody who listens.

Also told apart: Sidecar's pauses are of a process, requests are lost by the process that read them.

--- a/dykefold/control/handover.py
+++ b/dykefold/control/handover.py
@@ -10,10 +10,12 @@
 The rules that this file keeps:
 1. What live processes may take never comes to more than the whole: whoever takes more shows its claim first,
    and at its next look takes of it what the claims of the others leave. So of two that grow at once each one
-   sees the other's claim before it takes. One that starts serves when every older one has shown that it has
-   made room, is gone, or was waited for, however little is left. Memory of messages goes in equal parts.
-   Of the descriptors an older process keeps what it holds, since closing a client's connection under a
-   request that is on its way loses it; it never takes more again, and the newest has all that is left.
+   sees the other's claim before it takes. One that can't show any (a full disk) takes half of the whole at
+   most, which leaves the other half to a second one that can't. One that starts serves when every older one
+   has shown that it has made room, is gone, or was waited for, however little is left. Memory of messages
+   goes in equal parts. Of the descriptors an older process keeps what it holds, since closing a client's
+   connection under a request that is on its way loses it; it never takes more again, and the newest has all
+   that is left.
 2. A process says that it takes clients when it does, and never again once it has begun to end.
 3. An older process gives its clients away only in a planned end, and only while a newer one takes them.
 4. What is remembered of others is bounded: `OTHERS_MOST` signs, the latest.
@@ -40,6 +42,7 @@
 LOOK_NS = 100 * MS  # between two looks, and between two signs while others live
 STALE_NS = 1_500 * MS  # far more than a loop is ever late; less than the shortest planned end
 ROOM_WAIT_NS = 800 * MS  # for an older process to make room: the platform gives 6 s until the yes
+HIDDEN_NS = 3 * LOOK_NS  # after which whoever could not write either has shown itself
 OTHERS_MOST = 8
 OLDER_MOST = 0.75  # of the descriptors, whatever it holds
 
@@ -133,6 +136,8 @@
         self.sees: tuple[str, ...] = (name,)
         self.most = 0  # descriptors that it may hold
         self.claim = 0  # ... and that its sign says
+        self.shown = True  # that sign could be written ...
+        self.hidden_ns: int | None = None  # ... and when it last could not
 
     def sign(self, now_ns: int, place: int | None = None) -> Sign:
         """What to show now; `place` as in `Sign`."""
@@ -173,7 +178,8 @@
                 self.most = min(self.most, held)
             self.claim = self.most
         elif self.state is not State.ENDING:
-            self.most = min(max(self.most, self.claim), room)
+            hidden = self.hidden_ns is not None and now_ns - self.hidden_ns < HIDDEN_NS
+            self.most = min(max(self.most, min(self.claim, whole // 2) if hidden else self.claim), room)
             self.claim = room
         made_room = all(self.name in sign.sees for sign in older)
         return View(
@@ -185,6 +191,12 @@
             may_serve=(made_room and self.most >= room) or now_ns - self.born_ns >= ROOM_WAIT_NS,
         )
 
+    def showed(self, now_ns: int, written: bool) -> None:
+        """Whether its sign could be written just now."""
+        self.shown = written
+        if not written:
+            self.hidden_ns = now_ns
+
     def serves(self) -> None:
         """It takes clients from now on."""
         self._go(Event.MAY_SERVE)
--- a/dykefold/control/operator.py
+++ b/dykefold/control/operator.py
@@ -45,6 +45,11 @@
         if changed:
             log.info("%s is %s", server, "out for maintenance" if out else "back from maintenance")
         # Asked of what was done before as well: the call may come again because this failed.
-        if self.keeper is not None and not self.keeper.keep():
-            return Reply(500, "done here, but a newer process would not know: call again")
-        return YES
+        if self.keeper is None or self.keeper.keep():
+            return YES
+        if out:
+            return Reply(500, "out here, but a newer process would not know: call again")
+        # A no must not put it to use: until the call has been written down the server is out.
+        for pool in changed:
+            pool.maintain(server, True)
+        return Reply(500, "still out: nothing can be written down; call again")
--- a/dykefold/control/upgrade.py
+++ b/dykefold/control/upgrade.py
@@ -39,6 +39,7 @@
         self.sock: socket.socket | None = None  # that clients come to
         self.places = Places()
         self.steers = False
+        self.locked = False
         self.told: dict[str, int] = {}  # versions of the lists that others can read
         self.timer: asyncio.TimerHandle | None = None
 
@@ -46,7 +47,6 @@
 
     async def make_room(self) -> None:
         """Wait until older processes leave this one its part of the limits, or are seen to be gone."""
-        self.board.hold(self._file)
         self.keep()
         while not self._look().may_serve and not self.engine.draining:
             self.keep()  # what it is about to take, before it does
@@ -104,10 +104,10 @@
 
     def _tick(self) -> None:
         # A process that is alone looks at one time of one folder, ten times a second.
-        if self.others or self.board.changed():
+        if self.others or self.board.changed() or not (self.handover.shown and self.locked):
             claim = self.handover.claim
             self._look()
-            if self.others or claim != self.handover.claim:
+            if self.others or claim != self.handover.claim or not (self.handover.shown and self.locked):
                 self.keep()
         self.timer = self.loop.call_later(LOOK_S, self._tick)
 
@@ -179,12 +179,16 @@
 
     def keep(self) -> bool:
         """Show the sign of this process, with which servers are out; False if it can't be written."""
+        if not self.locked:
+            self.locked = self.board.hold(self._file)
         said: dict[str, Said] = {}
         for pool in self.engine.pools:
             said |= pool.maintenance.said
         place = self.places.mine if self.engine.listener is not None else None
         word = sign_word(self.handover.sign(self.now_ns(), place), said)
-        return self.board.write(self._file, {**word, "lists": self._tell_lists()})
+        written = self.board.write(self._file, {**word, "lists": self._tell_lists()})
+        self.handover.showed(self.now_ns(), written)
+        return written
 
     # The end
 
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -223,7 +223,7 @@
 
     def limit(self, sockets: int, caps: Caps) -> None:
         """Take other limits while running: what is open beyond them goes, except what a request needs."""
-        if self.parts == 1:
+        if self.most >= self.sockets:  # it has them all, and so it stays
             self.most = sockets
         self.sockets = sockets
         kept = self.clients.admission.count if self.parts > 1 else 0
--- a/dykefold/sim/apps.py
+++ b/dykefold/sim/apps.py
@@ -32,7 +32,7 @@
     sent_ns: int
     paused_ns: int  # that the sidecar's process had stood still when it was sent
     end_bytes: int  # of the connection, with its last one
-    life: int  # of the sidecar that it was sent to
+    process: SimLoop  # of the sidecar, that it was sent to
 
     def wait_from(self, now_ns: int) -> None:
         self.due_ns = max(self.due_ns, now_ns + self.arrival.deadline_ms * MS)
@@ -156,12 +156,12 @@
         data = self.run.request(arrival, ident, left_ms)
         sock = connection.transport.sock
         end = sock.sent_bytes + len(connection.transport.buffer) + len(data)
-        side = self.run.sidecars[self.number]
-        paused_ns = side.paused_ns
+        process = sock.peer.loop
+        paused_ns = process.paused_ns
         if connection.open:  # answers come in order, so it can't be answered before those ahead of it
             due_ns = max(due_ns, connection.open[-1].due_ns)
             paused_ns = connection.open[-1].paused_ns
-        asked = Asked(ident, arrival, due_ns, kernel.now_ns, paused_ns, end, side.life)
+        asked = Asked(ident, arrival, due_ns, kernel.now_ns, paused_ns, end, process)
         connection.sent += 1
         connection.open.append(asked)
         kernel.note(f"{self.name} asks {ident}")
@@ -209,8 +209,7 @@
         connection.transport.abort()
 
     def _same_life(self, asked: Asked) -> bool:
-        side = self.run.sidecars[self.number]
-        return side.life == asked.life and side.alive
+        return asked.process.alive
 
     # Answers
 
@@ -218,7 +217,7 @@
         """When it must be answered: later by what the process stood still, or could not accept."""
         peer = connection.transport.sock.peer
         accepted_ns = peer.accepted_ns if peer is not None else 0
-        paused_ns = self.run.sidecars[self.number].paused_ns - asked.paused_ns
+        paused_ns = asked.process.paused_ns - asked.paused_ns
         return asked.due_ns + paused_ns + max(accepted_ns - asked.sent_ns, 0)
 
     def answered(
--- a/dykefold/sim/loop.py
+++ b/dykefold/sim/loop.py
@@ -36,9 +36,10 @@
 class SimLoop(_Loop):
     """The loop of the process `name`; `network` makes and connects its sockets."""
 
-    def __init__(self, kernel: Kernel, name: str, network: Network) -> None:
+    def __init__(self, kernel: Kernel, name: str, network: Network, host: str = "") -> None:
         self.kernel = kernel
         self.name = name
+        self.host = host or name  # the machine, where several processes share one
         self.network = network
         self.random: random.Random = stream(kernel.seed, "loop", name)
         self.ready: deque[asyncio.Handle] = deque()
@@ -48,6 +49,7 @@
         self.signals: dict[int, tuple[Callable[..., None], tuple[Any, ...]]] = {}
         self.alive = True
         self.paused_until_ns = 0
+        self.pauses_ns = 0  # that it was told to stand still, in all
         self.free_at_ns = 0  # the turn before takes until then
         self.turn_at_ns = -1  # the turn that is planned; negative: none
         self.turn_number = 0
@@ -144,7 +146,15 @@
 
     def pause(self, span_ns: int) -> None:
         """Stop the process for a time, as SIGSTOP and SIGCONT do."""
-        self.paused_until_ns = max(self.paused_until_ns, self.kernel.now_ns + span_ns)
+        before = max(self.paused_until_ns, self.kernel.now_ns)
+        self.paused_until_ns = max(before, self.kernel.now_ns + span_ns)
+        self.pauses_ns += self.paused_until_ns - before
+
+    @property
+    def paused_ns(self) -> int:
+        """How long it has stood still until now, in all."""
+        left_ns = max(self.paused_until_ns - self.kernel.now_ns, 0)
+        return self.pauses_ns - left_ns + self.stalled_ns
 
     def signal(self, number: int) -> None:
         """Send the process a signal."""
--- a/dykefold/sim/net.py
+++ b/dykefold/sim/net.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import errno
 import random
 import socket
@@ -16,6 +17,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
 
+from ..control.steering import SO_ATTACH_REUSEPORT_CBPF, SO_DETACH_REUSEPORT_BPF
 from .kernel import MS, Kernel, stream
 
 if TYPE_CHECKING:
@@ -113,6 +115,11 @@
         self._check()
         if option == socket.SO_LINGER and level == socket.SOL_SOCKET:
             self.linger = value != struct.pack("ii", 1, 0)
+        elif option == SO_ATTACH_REUSEPORT_CBPF:
+            _, program = struct.unpack("@HP", value)
+            self.network.filters[self.local] = struct.unpack("=HBBI", ctypes.string_at(program, 8))[3]
+        elif option == SO_DETACH_REUSEPORT_BPF:
+            self.network.filters.pop(self.local, None)
 
     def getsockopt(self, level: int, option: int) -> int:
         return self.error if option == socket.SO_ERROR else 0
@@ -131,7 +138,7 @@
         """Begin to connect; `done` is told the end of it."""
         self._check()
         self.remote, self.connecting = address, done
-        self.local = (self.network.hosts[self.loop.name], self.network.next_port())
+        self.local = (self.network.hosts[self.loop.host], self.network.next_port())
         self.network.connect(self)
 
     def accept(self) -> tuple[SimSocket, Address]:
@@ -212,7 +219,7 @@
         self.network.release(self)
         self.on_readable = self.on_writable = None
         if self.listening:
-            self.network.listeners.pop(self.local, None)
+            self.network.listens_no_more(self)
             for waiting in self.queue:
                 waiting.abandon()
             return
@@ -235,7 +242,7 @@
         self.closed = True
         self.on_readable = self.on_writable = None
         if self.listening:
-            self.network.listeners.pop(self.local, None)
+            self.network.listens_no_more(self)
             for waiting in self.queue:
                 waiting.abandon()
         elif self.connecting is not None:
@@ -280,7 +287,8 @@
         self.tap: Tap = NoTap()
         self.hosts: dict[str, str] = {}  # process -> its address
         self.owners: dict[str, str] = {}  # address -> process
-        self.listeners: dict[Address, SimSocket] = {}
+        self.listeners: dict[Address, list[SimSocket]] = {}  # in the order that the kernel has them in
+        self.filters: dict[Address, int] = {}  # the place that is picked among these
         self.datagrams: dict[Address, SimDatagrams] = {}
         self.open: dict[str, dict[int, SimSocket]] = {}
         self.descriptors: dict[str, int] = {}
@@ -327,10 +335,30 @@
 
     def listen(self, loop: SimLoop, port: int) -> SimSocket:
         sock = self.socket(loop)
-        sock.local, sock.listening = (self.hosts[loop.name], port), True
-        self.listeners[sock.local] = sock
+        sock.local, sock.listening = (self.hosts[loop.host], port), True
+        self.listeners.setdefault(sock.local, []).append(sock)
         return sock
 
+    def listens_no_more(self, sock: SimSocket) -> None:
+        """The last one of a group takes the place of one that ends (`control/places.py`)."""
+        group = self.listeners[sock.local]
+        place = group.index(sock)
+        group[place] = group[-1]
+        group.pop()
+        if not group:
+            del self.listeners[sock.local]
+            self.filters.pop(sock.local, None)
+
+    def _listener(self, address: Address) -> SimSocket | None:
+        """Who a new connection comes to."""
+        group = self.listeners.get(address)
+        if group is None:
+            return None
+        place = self.filters.get(address, len(group))
+        if place >= len(group):
+            place = self.random.randrange(len(group)) if len(group) > 1 else 0
+        return group[place]
+
     def kill(self, loop: SimLoop) -> None:
         """End a process: its connections are reset."""
         loop.die()
@@ -343,7 +371,7 @@
     # Ways
 
     def _way(self, sock: SimSocket) -> frozenset[str]:
-        return frozenset((sock.loop.name, self.owners.get(sock.remote[0], sock.remote[0])))
+        return frozenset((sock.loop.host, self.owners.get(sock.remote[0], sock.remote[0])))
 
     def latency_ns(self, sock: SimSocket) -> int:
         way = self._way(sock)
@@ -381,7 +409,7 @@
     def _knock(self, sock: SimSocket) -> None:
         if sock.connecting is None:
             return
-        listener = self.listeners.get(sock.remote)
+        listener = self._listener(sock.remote)
         if listener is None:
             at_ns = self.kernel.now_ns + self.latency_ns(sock)
             self._pass(sock, at_ns, self._answered, sock, errno.ECONNREFUSED)
@@ -477,7 +505,7 @@
     def send_datagram(self, sender: SimDatagrams, data: bytes, address: Address) -> None:
         if len(data) > DATAGRAM_MOST or self.random.random() < self.lose:
             return
-        way = frozenset((sender.loop.name, self.owners.get(address[0], address[0])))
+        way = frozenset((sender.loop.host, self.owners.get(address[0], address[0])))
         delay_ns = int(MS * (1 + 20 * self.random.random()))  # so that one may overtake another
         if way not in self.cut:
             self.kernel.after(delay_ns, self._datagram_arrives, data, sender.local, address)
--- a/dykefold/sim/process.py
+++ b/dykefold/sim/process.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..admission.addresses import Caps
+from ..control.upgrade import Upgrade
 from ..net.discovery import Names, read_news
 from ..net.engine import Engine
 from ..net.limits import MB
@@ -13,6 +14,7 @@
 from ..routing.services import Services
 from ..settings import Transport
 from ..system import System, Watch
+from .board import SimBoard
 from .kernel import EPOCH_NS, MS, SECOND, stream
 from .loop import SimLoop
 from .net import SimSocket, network_of
@@ -57,30 +59,46 @@
 
 
 class Sidecar:
-    """One life after the other of one sidecar."""
+    """One life after the other of one process of a sidecar."""
 
-    def __init__(self, run: Running, number: int) -> None:
+    def __init__(self, run: Running, number: int, place: int = 0) -> None:
+        """Prepare.
+
+        Args:
+            place: 0, or what tells this process from others of the same sidecar.
+        """
         self.run = run
         self.number = number
+        self.place = place
         self.name = f"sidecar{number}"
+        self.process = f"{self.name}.{place}" if place else self.name
         self.address = f"{network_of(number)}.1"
         self.life = 0
+        self.began_ns = 0
+        self.system: SimSystem
         self.alive = False
         self.ending = False
-        self.pauses_ns = 0  # that its processes were told to stand still, in all
         self.engine: Engine | None = None
         self.services: Services | None = None
-        run.network.add_host(self.name, self.address)
+        self.upgrade: Upgrade | None = None
+        if not place:
+            run.network.add_host(self.name, self.address)
+        run.network.open.setdefault(self.process, {})
 
     def start(self) -> None:
         """Begin a life with the list that was last told."""
+        beside = [other for other in self.run.living(self.number) if other is not self]
         self.life += 1
+        self.began_ns = self.run.kernel.now_ns
         self.alive, self.ending = True, False
-        self.run.rules.restarted(self.name)
-        self.loop = SimLoop(self.run.kernel, self.name, self.run.network)
+        if not beside:
+            self.run.rules.restarted(self.name)
+        self.loop = SimLoop(self.run.kernel, self.process, self.run.network, self.name)
         # Lives differ in their chance, and machines in how long they have been up.
-        chance = stream(self.run.kernel.seed, "sidecar", self.number, self.life)
-        self.system = SimSystem(self.loop, chance.randrange(1, 10**6) * SECOND)
+        key = (self.number, self.life, self.place) if self.place else (self.number, self.life)
+        chance = stream(self.run.kernel.seed, "sidecar", *key)
+        boot_ns = chance.randrange(1, 10**6) * SECOND
+        self.system = SimSystem(self.loop, beside[0].system.boot_ns if beside else boot_ns)
         self.seed = chance.getrandbits(63)
         self.loop.wake(self._boot)
 
@@ -91,10 +109,29 @@
             self.apply()
         else:
             self._serve_one(engine)
-        self.loop.add_signal_handler(signal.SIGTERM, engine.drain)
+        self.loop.add_signal_handler(signal.SIGTERM, self._drain, engine)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
-        engine.listen(self.run.network.listen(self.loop, PORT))  # type: ignore[arg-type]
         engine.stopped.add_done_callback(self._stopped)
+        if self.run.scenario.world == "upgrade":
+            board = SimBoard(self.run.folders[self.number], self.loop)
+            self.upgrade = Upgrade(self.loop, engine, board, self.system)
+            self.loop.create_task(self._take_over(engine, self.upgrade))
+        else:
+            engine.listen(self.run.network.listen(self.loop, PORT))  # type: ignore[arg-type]
+
+    async def _take_over(self, engine: Engine, upgrade: Upgrade) -> None:
+        """As `control.presence` does it."""
+        await upgrade.make_room()
+        if not engine.draining and self.alive:
+            sock = self.run.network.listen(self.loop, PORT)
+            engine.listen(sock)  # type: ignore[arg-type]
+            upgrade.takes(sock)  # type: ignore[arg-type]
+            self.run.kernel.note(f"{self.process} takes clients")
+
+    def _drain(self, engine: Engine) -> None:
+        if self.upgrade is not None:
+            self.upgrade.end()
+        engine.drain()
 
     def _serve_one(self, engine: Engine) -> None:
         settings = self.run.settings_at(self.number)
@@ -114,18 +151,10 @@
             made.connection_made(self.loop.network.datagrams[peers[self.number]])  # type: ignore[arg-type]
             engine.peers = made
 
-    @property
-    def paused_ns(self) -> int:
-        """How long its processes have stood still until now, in all."""
-        left_ns = max(self.loop.paused_until_ns - self.run.kernel.now_ns, 0)
-        return self.pauses_ns - left_ns + self.loop.stalled_ns
-
     # Signals
 
     def pause(self, span_ns: int) -> None:
-        before = max(self.loop.paused_until_ns, self.run.kernel.now_ns)
         self.loop.pause(span_ns)
-        self.pauses_ns += max(self.loop.paused_until_ns - before, 0)
 
     def reload(self) -> None:
         if self.alive and not self.ending:
@@ -152,6 +181,8 @@
 
     def _stopped(self, _: object) -> None:
         assert self.engine is not None
+        if self.upgrade is not None:
+            self.upgrade.close()
         self.engine.close()
         self.run.kernel.after(MS, self._exit, self.life)
 
@@ -170,10 +201,10 @@
 
     def kill(self) -> None:
         self.alive = False
-        self.run.kernel.note(f"{self.name} ends")
+        self.run.kernel.note(f"{self.process} ends")
         self.run.check_process(self)
         self.run.network.kill(self.loop)
-        self.engine = self.services = None
+        self.engine = self.services = self.upgrade = None
 
 
 def bounds_broken(engine: Engine, network_open: dict[int, SimSocket]) -> list[str]:
@@ -187,7 +218,7 @@
     held = sum(len(pool.upstreams.connections) for pool in engine.pools)
     if budget.upstreams.held != held:
         found.append(f"connections to servers counted as {budget.upstreams.held}, there are {held}")
-    if len(network_open) > SOCKETS:
+    if len(network_open) > SOCKETS:  # of the sidecar
         found.append(f"{len(network_open)} descriptors of {SOCKETS}")
     for pool in engine.pools:
         deaf = sum(connection.blocked for connection in pool.upstreams.idle)
--- a/dykefold/sim/rules.py
+++ b/dykefold/sim/rules.py
@@ -86,6 +86,7 @@
         self.stories: dict[str, Story] = {}
         self.order: deque[tuple[int, str]] = deque()  # ids by age
         self.told: dict[tuple[str, str], int] = {}  # (sidecar, server) -> since when it is to be left alone
+        self.out: dict[tuple[str, str], int] = {}  # ... since when by the operators, whatever the list says
         self.knows: dict[tuple[str, str], int] = {}  # ... -> the start of the server as it was last told
         self.cold: dict[str, Cold] = {}
         self.cold_most = 0.0  # the largest part of a cold server's budget that was spent, by those who knew
@@ -158,7 +159,8 @@
                 self.breach(at_ns, "streams", f"{ident} went to {server} after its body had begun to flow")
             if earlier.whole and not earlier.proof:
                 self._may_repeat(at_ns, ident, spec, story, earlier, server, group)
-        told = self.told.get((sidecar, server))
+        since = [told.get((sidecar, server)) for told in (self.told, self.out)]
+        told = min((at for at in since if at is not None), default=None)
         if told is not None:
             self.counts["drained"] += 1
             if at_ns > told + self.grace_ns + DRAIN_SLACK_NS:
@@ -205,6 +207,13 @@
         else:
             self.told.setdefault(key, at_ns)
 
+    def banned(self, at_ns: int, sidecar: str, server: str, out: bool) -> None:
+        """Operators have taken a server out at a sidecar, or put it back."""
+        if out:
+            self.out.setdefault((sidecar, server), at_ns)
+        else:
+            self.out.pop((sidecar, server), None)
+
     def restarted(self, sidecar: str) -> None:
         """A sidecar has begun anew: it knows what it is given, and has been told nothing."""
         for known in (self.told, self.knows):
--- a/dykefold/sim/schedule.py
+++ b/dykefold/sim/schedule.py
@@ -42,6 +42,10 @@
     ZONE = "zone"  # all servers of a zone die and come back cold together
     REPLACE = "replace"  # six in ten servers drain, go, and are replaced by others, one after another
     OVERBOOK = "overbook"  # discovery turns calls away, breaks answers off, sends what can't be read
+    # Of two processes that are one sidecar.
+    UPGRADE = "upgrade"  # a newer process begins; the older one is told to end when that one takes clients
+    BAN = "ban"  # a server is taken out at one of the processes, and put back
+    DISK = "disk"  # nothing can be written where the processes leave each other word
 
 
 OF_SERVERS = frozenset(
@@ -60,6 +64,7 @@
     )
 )
 OF_FLEETS = frozenset((Kind.HERD, Kind.ZONE, Kind.REPLACE, Kind.OVERBOOK))
+OF_UPGRADES = frozenset((Kind.UPGRADE, Kind.BAN, Kind.DISK))
 OF_SIDECARS = frozenset((Kind.PAUSE, Kind.KILL, Kind.TERM, Kind.SQUEEZE, Kind.FLOOD, Kind.CUT))
 SPANS_MS = {
     Kind.CRASH: (300, 4000),
@@ -151,7 +156,7 @@
     spread: bool = False
 
 
-PLATFORM = tuple(kind for kind in Kind if kind not in OF_FLEETS)
+PLATFORM = tuple(kind for kind in Kind if kind not in OF_FLEETS | OF_UPGRADES)
 WORLDS = {
     "parts": World(5, 2, 40.0, 0.8, PLATFORM, (1000, 800, 1200), (0.5, 0.28, 0.22)),
     "restarts": World(
@@ -165,6 +170,11 @@
     ),
     "storm": World(3, 1, 90.0, 2.5, PLATFORM, (400, 300, 500), (0.4, 0.3, 0.3)),
     "services": World(6, 1, 60.0, 0.8, PLATFORM, (1000, 800, 1200), (0.4, 0.3, 0.3), 0.08, 8),
+    "upgrade": World(
+        5, 2, 40.0, 1.2,
+        (*[Kind.UPGRADE] * 4, Kind.KILL, Kind.PAUSE, Kind.BAN, Kind.DISK, Kind.DRAIN, Kind.MOVE, Kind.CRASH),
+        (1000, 800, 1200), (0.4, 0.3, 0.3),
+    ),
     "fleet": World(
         60, 40, 6.0, 1.0, (*sorted(OF_FLEETS), Kind.STALE, Kind.SILENT, Kind.TERM),
         (1000, 800, 1200), (0.5, 0.28, 0.22), zones="abcde", spread=True,
--- a/dykefold/sim/wire.py
+++ b/dykefold/sim/wire.py
@@ -50,7 +50,7 @@
         self.marks: dict[SimSocket, Marks] = {}
 
     def sent(self, sock: SimSocket, data: bytes) -> None:
-        if not sock.loop.name.startswith("sidecar"):
+        if not sock.loop.host.startswith("sidecar"):
             return
         line = self.lines.get(sock)
         if line is None:
@@ -85,7 +85,7 @@
         if not lines[0].startswith("get /-/"):
             ident = headers.get("x-request-id", "")
             now = self.kernel.now_ns
-            line.current = self.rules.began(now, sock.loop.name, ident, line.server, line.group)
+            line.current = self.rules.began(now, sock.loop.host, ident, line.server, line.group)
             self.kernel.note(f"{sock.loop.name} sends {ident} to {line.server}")
         line.left = int(headers.get("content-length", 0))
         line.streamed = line.left > BODY_MOST
--- a/dykefold/sim/world.py
+++ b/dykefold/sim/world.py
@@ -6,14 +6,17 @@
 import tomllib
 from typing import Any
 
+from ..control.calls import Action, Call
+from ..control.operator import Operator
 from ..interface import Effect, RequestClass, Scope, Settings
 from ..routing.config import read_plan
 from ..routing.plan import Plan
 from .apps import App
+from .board import Folder
 from .kernel import EPOCH_NS, MS, SECOND, Kernel
 from .net import Address, Network
 from .nodes import COLD_SHARE, WARM_NS, Node
-from .process import PORT, Sidecar, bounds_broken, left_over
+from .process import PORT, SOCKETS, Sidecar, bounds_broken, left_over
 from .registry import Registry
 from .rules import Breach, Rules
 from .schedule import WORLDS, Arrival, Fault, Kind, Scenario
@@ -24,6 +27,7 @@
 FLOOD = 80
 LARGE = 25_000  # parts in the body of a request that can't be held: 100 KB, more than a window
 GRACE_NS = 500 * MS
+YES_NS = 6 * SECOND  # within which a newer process is to take clients (DAYS)
 CLASSES = ("lookup", "hold", "order")
 POOLS = ("catalogue", "stock", "orders")
 
@@ -73,6 +77,7 @@
         self.network.tap = self.wire
         self.last_told: dict[str, tuple[tuple[int, int], dict[str, dict[str, Any]]]] = {}
         self.replaced = 0
+        self.started = 0  # processes that were started beside others
         self.nodes = [self._make_node(number) for number in range(scenario.servers)]
         self.plan: Plan | None = None
         self.plan_number = 0
@@ -83,6 +88,8 @@
             node.start(cold=False)
         entries = {node.name: self.entry(node, "SERVING") for node in self.nodes}
         self.registry = Registry(self, 0, dict(entries))
+        self.folders = [Folder() for _ in range(scenario.sidecars)]
+        self.others: list[Sidecar] = []  # processes beside the first ones
         self.sidecars = [Sidecar(self, number) for number in range(scenario.sidecars)]
         for side in self.sidecars:
             self.last_told[side.name] = ((0, self.registry.version), dict(entries))
@@ -97,6 +104,15 @@
 
     # What the processes ask of the world
 
+    def processes(self) -> list[Sidecar]:
+        """All processes of sidecars, in the order in which they were made."""
+        return [*self.sidecars, *self.others]
+
+    def living(self, number: int) -> list[Sidecar]:
+        """The living processes of a sidecar, the oldest first."""
+        living = [side for side in self.processes() if side.number == number and side.alive]
+        return sorted(living, key=lambda side: side.began_ns)
+
     def _make_node(self, number: int) -> Node:
         name = f"n{number}" if not self.replaced else f"n{number}v{self.replaced}"
         address = f"10.1.0.{number + 1}"
@@ -161,8 +177,15 @@
     ) -> None:
         """A list or a change of it has arrived at a sidecar."""
         before, known = self.last_told[sidecar]
-        if registry is not self.registry or (registry.number, version) < before:
-            return  # of one that it has left, or older than what it has
+        if (registry.number, version) < before:
+            return  # older than what it has
+        if registry is not self.registry:
+            # Of one that it leaves just now: it may act on it or not, so that only what allows more counts.
+            for entry in entries:
+                if entry["status"] == "SERVING":
+                    since_ns = entry["since_ms"] * MS - EPOCH_NS
+                    self.rules.told_state(self.kernel.now_ns, sidecar, entry["name"], True, since_ns)
+            return
         if registry.number != before[0] and not whole:
             return
         names = {entry["name"] for entry in entries}
@@ -287,7 +310,12 @@
             way = frozenset((side.name, node.name))
             self.network.stuck.pop(way, None)
             self.network.cut.discard(way)
-            for sock in list(self.network.open[side.name].values()):
+            for sock in [
+                sock
+                for one in self.processes()
+                if one.name == side.name
+                for sock in self.network.open[one.process].values()
+            ]:
                 if self.network.owners.get(sock.remote[0]) == node.name and sock.peer is not None:
                     self.network.reset_arrives(sock)
 
@@ -329,7 +357,7 @@
             self.registry = Registry(self, old.number + 1, entries)
             old.loop.wake(old.listener.close)
             self.kernel.after(1_500 * MS, self._close_old, old)
-        for side in self.sidecars:
+        for side in self.processes():
             side.reload()
 
     def _close_old(self, registry: Registry) -> None:
@@ -337,16 +365,77 @@
             registry.loop.wake(connection.transport.close)
 
     def _fault_pause(self, fault: Fault) -> None:
-        side = self.sidecars[fault.sidecar]
-        if side.alive:
+        side = self._one_of(fault)
+        if side is not None:
             side.pause(fault.span_ns)
 
+    def _one_of(self, fault: Fault) -> Sidecar | None:
+        """A living process of the sidecar that a fault is for."""
+        living = self.living(fault.sidecar)
+        return living[fault.server % len(living)] if living else None
+
     def _fault_kill(self, fault: Fault) -> None:
-        side = self.sidecars[fault.sidecar]
-        if side.alive:
+        side = self._one_of(fault)
+        if side is not None:
             side.kill()
             self._later(fault, self._start_again, side, side.life)
 
+    def _fault_upgrade(self, fault: Fault) -> None:
+        living = self.living(fault.sidecar)
+        # Three of which none can show itself would be one more than the hand-over has room for.
+        most = 1 if self.folders[fault.sidecar].full else 2
+        if not 0 < len(living) <= most:
+            return
+        self.started += 1
+        made = Sidecar(self, fault.sidecar, self.started)
+        self.others.append(made)
+        made.start()
+        self._await_yes(made, living, self.kernel.now_ns)
+
+    def _await_yes(self, made: Sidecar, older: list[Sidecar], since_ns: int) -> None:
+        """As the platform does: when the new process takes clients, the older ones are told to end."""
+        if not made.alive or made.ending:
+            return
+        if made.engine is not None and made.engine.takes_clients:
+            for side in older:
+                if side.alive:
+                    side.terminate()
+        elif self.kernel.now_ns > since_ns + YES_NS + made.loop.paused_ns:
+            self.rules.breach(self.kernel.now_ns, "upgrades", f"{made.process} said no yes within 6 s")
+        else:
+            self.kernel.after(50 * MS, self._await_yes, made, older, since_ns)
+
+    def _fault_ban(self, fault: Fault) -> None:
+        side = self._one_of(fault)
+        if side is not None and side.engine is not None:
+            side.loop.wake(self._maintain, side, side.life, self.nodes[fault.server], True)
+            self._later(fault, self._unban, fault, self.nodes[fault.server])
+
+    def _unban(self, fault: Fault, node: Node) -> None:
+        side = self._one_of(fault)
+        if side is not None and side.engine is not None:
+            side.loop.wake(self._maintain, side, side.life, node, False)
+
+    def _maintain(self, side: Sidecar, life: int, node: Node, out: bool) -> None:
+        """A call at a process's door; from its yes it binds the sidecar, over upgrades too."""
+        if side.life != life or side.engine is None or side.upgrade is None or side.ending:
+            return
+        reply = Operator(side.engine, side.upgrade).carry_out(
+            Call(Action.OUT if out else Action.BACK, node.name)
+        )
+        if reply.code == 200:
+            self.kernel.note(f"{side.process} {'takes out' if out else 'puts back'} {node.name}")
+            self.rules.banned(self.kernel.now_ns, side.name, node.name, out)
+
+    def _fault_disk(self, fault: Fault) -> None:
+        folder = self.folders[fault.sidecar]
+        folder.full += 1
+        self._later(fault, self._disk_free, folder)
+
+    @staticmethod
+    def _disk_free(folder: Folder) -> None:
+        folder.full -= 1
+
     def _fault_term(self, fault: Fault) -> None:
         side = self.sidecars[fault.sidecar]
         if side.alive and not side.ending:
@@ -354,7 +443,7 @@
             self.kernel.after(2 * SECOND + fault.span_ns, self._start_again, side, side.life)
 
     def _start_again(self, side: Sidecar, life: int) -> None:
-        if side.life == life and not side.alive:
+        if side.life == life and not side.alive and not self.living(side.number):
             side.start()
 
     def _fault_herd(self, fault: Fault) -> None:
@@ -398,8 +487,10 @@
     # Checks
 
     def _check(self) -> None:
-        for side in self.sidecars:
+        for side in self.processes():
             self.check_process(side)
+        for number in range(len(self.sidecars)):
+            self._check_together(number)
         self.kernel.after(CHECK_NS, self._check)
 
     def check_process(self, side: Sidecar) -> None:
@@ -409,9 +500,28 @@
             self.rules.breach(now, "no unhandled error", f"{side.name}: {failure}")
         side.loop.failures.clear()
         if side.engine is not None and side.alive:
-            for text in bounds_broken(side.engine, self.network.open[side.name]):
+            for text in bounds_broken(side.engine, self.network.open[side.process]):
                 self.rules.breach(now, "bounds", f"{side.name}: {text}")
 
+    def _check_together(self, number: int) -> None:
+        """What the processes of a sidecar hold together, and that somebody takes clients."""
+        living = [side for side in self.living(number) if side.engine is not None]
+        if len(living) < 2:
+            return
+        now = self.kernel.now_ns
+        held = sum(len(self.network.open[side.process]) for side in living)
+        if held > SOCKETS:
+            self.rules.breach(now, "bounds", f"{living[0].name}: {held} descriptors of {SOCKETS} in all")
+        served = [
+            side.engine for side in living if side.engine is not None and side.engine.listener is not None
+        ]
+        most = sum(engine.most for engine in served)
+        if most > SOCKETS:
+            self.rules.breach(now, "bounds", f"{living[0].name}: {most} descriptors of {SOCKETS} claimed")
+        staying = [side for side in living if not side.ending]
+        if staying and not served and all(now - side.began_ns > YES_NS for side in staying):
+            self.rules.breach(now, "upgrades", f"nobody takes the clients of {living[0].name}")
+
     def play(self, steps_most: int | None = None) -> list[Breach]:
         """Run to the end, the quiet after it included; what was broken."""
         until_ns = self.scenario.span_ns
@@ -422,7 +532,7 @@
         for app in self.apps:
             app.loop.wake(app.close)
         self.kernel.run(until_ns + QUIET_NS)
-        for side in self.sidecars:
+        for side in self.processes():
             self.check_process(side)
             if side.alive and not side.ending and side.engine is not None:
                 for text in left_over(side.engine):
--- a/tests/control/test_handover.py
+++ b/tests/control/test_handover.py
@@ -255,3 +255,17 @@
     assert board.changed() and board.read("sign-a") is None
     (tmp_path / "dykefold").rmdir()
     assert not board.write("sign-a", {}) and board.read_all("sign-") == {}
+
+
+def test_who_can_not_show_its_claim_takes_half_until_it_has_shown_it_for_a_while():
+    one, other = Handover("a", 0), Handover("b", 1)
+    views = {}
+    for now in range(0, 2 * ROOM_WAIT_NS, LOOK_NS):
+        for handover in (one, other):
+            views[handover.name] = handover.look(now, [], WHOLE, 0)
+            handover.showed(now, False)
+    assert [view.most for view in views.values()] == [WHOLE // 2] * 2
+    last = now
+    one.showed(now + 1, True)
+    assert one.look(last + LOOK_NS, [], WHOLE, 0).most == WHOLE // 2
+    assert one.look(last + 5 * LOOK_NS, [], WHOLE, 0).most == WHOLE
--- a/tests/control/test_upgrade_faults.py
+++ b/tests/control/test_upgrade_faults.py
@@ -232,3 +232,21 @@
             assert YES_S > 1.0
 
     run(play())
+
+
+def test_a_server_whose_return_can_not_be_written_down_stays_out(tmp_path):
+    """Guards the no at the door against a server that is used all the same."""
+
+    async def play():
+        async with world(tmp_path) as it:
+            (process,) = it.member.living
+            await it.ban(process, "std-0")
+            folder = it.member.folder / "tmp" / "dykefold"
+            folder.rename(folder.with_name("kept"))
+            folder.write_text("")
+            assert await call(process.door, "POST /servers/std-0/ready") == 500
+            await asyncio.sleep(GRACE_S)
+            await it.serves_on(40)
+        assert not it.verdict().violations
+
+    run(play())
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -118,6 +118,20 @@
         "",
         "ahead",
     ),
+    Mutant(
+        "a ban is not handed on",
+        "control/upgrade.py",
+        "                self._merge(read_said(word))\n",
+        "                pass\n",
+        "upgrade",
+    ),
+    Mutant(
+        "whoever lives is not asked for its lock",
+        "control/upgrade.py",
+        "self.board.held(name) for name, sign",
+        "None for name, sign",
+        "upgrade",
+    ),
     Mutant(
         "keyed requests are repeated anywhere",
         "logic.py",
