The rig: a fleet of real processes, a network between them that breaks, a judge of all

Change: `dykefold/lab/fleet/`. Members have addresses of their own in 127.0.0.0/8 (a rig takes a /16 that no other uses). Datagrams pass a relay that knows sender and receiver by addresses of its own: cut on either way, lost, late, doubled, spoilt. Connections are cut where they end, in the rig's servers and list service, by zone: input is not looked at, output waits, a new one never comes up (a listener's queue kept full). Members are killed, stopped, ended, restarted; zones of servers crash; the list service works in turn and turns away. Ways not taken: a proxy process for each connection (it would answer the handshake, so that a cut looks like a server that is slow); namespaces or packet filters (privileges).

Seen on the way: a function that runs in the child before exec (preexec_fn) held the rig's loop for 0.7 s at each start on busy cores, so that six members took 5 to 7 s to listen; by the shell's ulimit 0.6 s.

--- /dev/null
+++ b/benchmarks/rig.py
@@ -0,0 +1,47 @@
+"""The program under the rig's faults: real processes, a network between them that breaks.
+
+`python -m benchmarks.rig [MEMBERS [NAME ...]]`: the scenarios of `SCENARIOS` with so many members (30), a line
+of JSON each. 200 members want some 6 GB and several cores. The load is small: what is looked at is the fleet.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+
+import uvloop
+
+from dykefold.lab.fleet.run import play
+from dykefold.lab.fleet.scenario import FaultTable, FleetScenario, FleetTable
+
+SCENARIOS: dict[str, list[FaultTable]] = {
+    "start": [],
+    "cut in two for 6 s": [FaultTable("cut", at_s=2, for_s=6, of="zone:a")],
+    "cut in three for 6 s": [
+        FaultTable("cut", at_s=2, for_s=6, of="zone:a"),
+        FaultTable("cut", at_s=2, for_s=6, of="zone:b"),
+    ],
+    "cut one way for 6 s": [FaultTable("cut", at_s=2, for_s=6, of="zone:a", one_way=True)],
+    "0.7 killed at once": [FaultTable("kill", at_s=3, for_s=0.5, share=0.7)],
+    "restarted a tenth at a time": [FaultTable("term", at_s=2, for_s=0.2, steps=10)],
+    "a third stopped for 1 s, four times": [FaultTable("stop", at_s=2, for_s=1, share=0.33, times=4)],
+    "a zone's servers down for 4 s": [FaultTable("servers", at_s=2, for_s=4, of="zone:a")],
+    "the list service down for 4 s": [FaultTable("list", at_s=2, for_s=4)],
+    "0.3 of the datagrams lost": [FaultTable("loss", at_s=0, for_s=12, share=0.3)],
+}
+SPAN_S = 14.0
+RATE = 300.0  # requests a second to all members together
+
+
+def main(members: int, names: list[str]) -> None:
+    fleet = FleetTable(members=members, zones=list("abc"), servers=max(members // 10, 2), rate=RATE / members)
+    for name in names or SCENARIOS:
+        began = time.monotonic()
+        seen = uvloop.run(play(FleetScenario(fleet, faults=SCENARIOS[name], span_s=SPAN_S)))
+        told = {"scenario": name, "members": members, "took_s": round(time.monotonic() - began, 1)}
+        print(json.dumps({**told, **seen.described()}), flush=True)
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 30, sys.argv[2:])
--- a/dykefold/cli/lab.py
+++ b/dykefold/cli/lab.py
@@ -64,6 +64,40 @@
     raise typer.Exit(1 if result.violations or not result.valid else 0)
 
 
+@lab.command("fleet")
+def fleet(
+    file: Annotated[Path, typer.Argument(metavar="SCENARIO", help="A scenario, as deploy/fleet.toml.")],
+    as_json: Annotated[bool, typer.Option("--json", help="One JSON object for programs.")] = False,
+) -> None:
+    """Play SCENARIO with real processes and a network that breaks; exit code 1 if a rule is broken."""
+    import uvloop
+
+    from ..lab.fleet.run import play
+    from ..lab.fleet.scenario import read_fleet
+    from ..operators import ServiceError
+
+    try:
+        scenario = read_fleet(str(file))
+    except ServiceError as error:
+        _refuse(error.path, error.problems)
+    try:
+        seen = uvloop.run(play(scenario))
+    except OSError as error:
+        typer.echo(f"dykefold: {error}", err=True)
+        raise typer.Exit(1) from None
+    told = seen.described()
+    if as_json:
+        typer.echo(json.dumps(told))
+    else:
+        table = Table("what", "figure")
+        for name, value in told.items():
+            table.add_row(
+                name.replace("_", " "), " ".join(map(str, value)) if isinstance(value, list) else str(value)
+            )
+        Console().print(table)
+    raise typer.Exit(0 if seen.good else 1)
+
+
 def _refuse(path: str, problems: list[str]) -> None:
     for problem in problems:
         typer.echo(f"{path}: {problem}", err=True)
--- a/dykefold/lab/fleet/process.py
+++ b/dykefold/lab/fleet/process.py
@@ -6,7 +6,6 @@
 import contextlib
 import os
 import re
-import resource
 import signal
 import sys
 from collections import deque
@@ -69,21 +68,18 @@
     def alive(self) -> bool:
         return self._child is not None and self._child.returncode is None
 
-    def _limit(self) -> None:
-        if self.descriptors is not None:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
-
     async def start(self) -> None:
         """Start the program, and do not wait for it."""
         environment = {name: value for name, value in os.environ.items() if not name.startswith("GW_")}
+        program = [sys.executable, "-m", "dykefold"]
+        if self.descriptors is not None:
+            # By the shell: a function that runs in the child would hold up this loop for each start.
+            program = ["/bin/sh", "-c", 'ulimit -n "$0" && exec "$@"', str(self.descriptors), *program]
         self._child = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "dykefold",
+            *program,
             cwd=Path(__file__).parents[3],
             env={**environment, **self.environment},
             stderr=asyncio.subprocess.PIPE,
-            preexec_fn=self._limit if self.descriptors is not None else None,
         )
         self._reader = asyncio.get_running_loop().create_task(self._read())
 
--- /dev/null
+++ b/dykefold/lab/fleet/run.py
@@ -0,0 +1,400 @@
+"""Plays a scenario of the rig: starts the members, breaks what it says, and judges."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import tempfile
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ..chance import generator
+from ..emulator.server import Connection, Server, Truth
+from ..scenario import LoadTable, Scenario, ServerTable
+from .desk import Asked, Desk, End, all_asked
+from .judge import Excuse, Verdict, judge
+from .member import Member, entry, settings
+from .network import PORT, Datagrams, Link, free_block
+from .process import Process, StartError
+from .registry import Caller, Registry
+from .scenario import CLASSES, FaultTable, FleetScenario
+
+LISTEN_PORT = 7070
+READY_S = 30.0  # clients come when all members are ready, or after that (DEPLOY)
+DEATH_S = 0.1  # in which a killed process's clients hear of it
+QUIET_S = 0.3  # after the last request
+TERM_S = 2.7  # from SIGTERM to SIGKILL: the longest deadline and 0.7 s
+
+
+@dataclass(slots=True)
+class Seen:
+    """What a run has shown.
+
+    Attributes:
+        ready_s: by member, from the first start to its listening; None if it never did.
+        calls: of the list service, by second from the first start.
+        turned_away: calls that it had no room for.
+        handshakes: connections that members opened to servers.
+        served: requests by the second of the load in which they were asked, and of these served in time.
+        datagrams: that members sent; `datagram_bytes` what was delivered.
+    """
+
+    verdict: Verdict
+    ready_s: list[float | None]
+    calls: list[int]
+    turned_away: int
+    handshakes: int
+    asked: list[int] = field(default_factory=list)
+    served: list[int] = field(default_factory=list)
+    datagrams: int = 0
+    datagram_bytes: int = 0
+    faults: list[str] = field(default_factory=list)  # tracebacks in members' logs
+
+    @property
+    def good(self) -> bool:
+        """Whether every member came to listen, no rule was broken, and no fault of the program was logged."""
+        return None not in self.ready_s and not self.verdict.broken and not self.faults
+
+    def described(self) -> dict[str, Any]:
+        """As JSON has it."""
+        ready = sorted(one for one in self.ready_s if one is not None)
+        return {
+            "requests": self.verdict.counts,
+            "lost": len(self.verdict.lost),
+            "excused": self.verdict.excused,
+            "violations": self.verdict.broken,
+            "gap_s": round(self.verdict.gap_s, 3),
+            "ready": len(ready),
+            "ready_s": [round(at, 2) for at in (ready[len(ready) // 2], ready[-1])] if ready else [],
+            "list_calls": sum(self.calls),
+            "list_calls_most_in_a_second": max(self.calls, default=0),
+            "list_calls_by_second": self.calls,
+            "list_calls_turned_away": self.turned_away,
+            "handshakes": self.handshakes,
+            "datagrams": self.datagrams,
+            "datagram_bytes": self.datagram_bytes,
+            "asked_by_second": self.asked,
+            "served_by_second": self.served,
+            "tracebacks": self.faults,
+        }
+
+
+class LinkedServer(Server):
+    """A server that members of each zone reach by a link of their own."""
+
+    def __init__(self, scenario: Scenario, name: str, truth: Truth, hosts: list[str]) -> None:
+        super().__init__(scenario, name, truth)
+        self.links = [Link(host, lambda: Connection(self)) for host in hosts]
+
+    async def listen(self) -> None:
+        for link in self.links:
+            if link.sock is None:
+                link.open()
+
+    def _crash(self) -> None:
+        for link in self.links:
+            link.shut()
+        super()._crash()
+
+    def close(self) -> None:
+        for link in self.links:
+            link.close()
+
+
+class Rig:
+    """Everything of a scenario, while it is played."""
+
+    def __init__(self, scenario: FleetScenario, folder: Path, block: int) -> None:
+        self.scenario = scenario
+        self.loop = asyncio.get_running_loop()
+        fleet = scenario.fleet
+        self.zones = range(len(fleet.zones))
+        self.truth = Truth()
+        self.excuses: list[Excuse] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.servers = self._make_servers(block)
+        table = scenario.list_service
+        self.registry = Registry(table.calls_per_s, table.waiting_most, table.late_s)
+        self.registry_links = [
+            Link(f"127.{block}.{200 + zone}.251", lambda zone=zone: Caller(self.registry, zone))  # type: ignore[misc]
+            for zone in self.zones
+        ]
+        for zone in self.zones:
+            for server in self.servers[zone]:
+                self.registry.entries[server.name] = self._entry(server, zone, "SERVING", 0)
+        self.datagrams = Datagrams(generator(scenario.seed, "datagrams"))
+        hosts = [f"127.{block}.{1 + number // 250}.{1 + number % 250}" for number in range(fleet.members)]
+        for host in hosts:
+            self.datagrams.add((host, PORT))
+        self.members = [self._make_member(number, host, folder) for number, host in enumerate(hosts)]
+        self.desks = [
+            Desk(number, CLASSES, fleet.rate, generator(scenario.seed, "desk", str(number)))
+            for number in range(fleet.members)
+        ]
+        for desk, host in zip(self.desks, hosts, strict=True):
+            desk.address = (host, LISTEN_PORT)
+        self.first_s = self.loop.time()
+        self.ready_s: list[float | None] = [None] * fleet.members
+
+    def _make_servers(self, block: int) -> list[list[LinkedServer]]:
+        fleet = self.scenario.fleet
+        table = ServerTable("s", cores=fleet.cores, cold_share=fleet.cold_share, warm_s=fleet.warm_s)
+        tables = [_named(table, f"s-{name}", fleet.servers) for name in fleet.zones]
+        emulated = Scenario(tables, CLASSES, LoadTable(), seed=self.scenario.seed)
+        return [
+            [
+                LinkedServer(
+                    emulated,
+                    f"s-{name}-{number}",
+                    self.truth,
+                    [
+                        f"127.{block}.{200 + of}.{1 + (zone * fleet.servers + number) % 250}"
+                        for of in self.zones
+                    ],
+                )
+                for number in range(fleet.servers)
+            ]
+            for zone, name in enumerate(fleet.zones)
+        ]
+
+    def _entry(self, server: LinkedServer, zone: int, status: str, since_ms: int) -> dict[str, Any]:
+        told = entry(server.name, "", self.scenario.fleet.zones[zone], status, since_ms)
+        return {**told, "addresses": [link.address for link in server.links]}
+
+    def _make_member(self, number: int, host: str, folder: Path) -> Member:
+        fleet, zone = self.scenario.fleet, self.scenario.zone_of(number)
+        own = folder / f"m{number}"
+        own.mkdir()
+        data = {
+            "name": f"m{number}",
+            "listen": f"{host}:{LISTEN_PORT}",
+            "discovery": self.registry_links[zone].address,
+            "seed": f"{self.scenario.seed * 1000 + number:016x}",
+            "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
+            "peer_listen": f"{host}:{PORT}",
+            "peers": self.datagrams.addresses(),
+            "peers_all": self.datagrams.all_address,
+            "known": self.registry.known(zone),
+            "settings": settings(CLASSES, fleet.zones, zone, number, fleet.members, peers=True),
+        }
+        return Member(number, own, data)
+
+    # Members
+
+    async def start(self, number: int) -> Process | None:
+        """Start a member anew with the list as it is; None if it did not come to listen."""
+        member = self.members[number]
+        known = self.registry.known(self.scenario.zone_of(number))
+        process = await member.start(known=known, peers=self.datagrams.addresses())
+        try:
+            await process.listens()
+        except StartError:
+            return None
+        if self.ready_s[number] is None:
+            self.ready_s[number] = self.loop.time() - self.first_s
+        return process
+
+    async def _kill(self, number: int, down_s: float) -> None:
+        now_s = self.loop.time()
+        for process in self.members[number].living:
+            process.kill()
+            await process.ended()
+        await asyncio.sleep(down_s)
+        await self.start(number)
+        self.excuses.append(Excuse(number, now_s, now_s + DEATH_S))
+
+    async def _term(self, number: int, down_s: float) -> None:
+        for process in self.members[number].living:
+            process.terminate()
+            try:
+                async with asyncio.timeout(TERM_S):
+                    await process.ended()
+            except TimeoutError:
+                process.kill()
+                await process.ended()
+        await asyncio.sleep(down_s)
+        await self.start(number)
+
+    async def _stop(self, number: int, span_s: float) -> None:
+        now_s = self.loop.time()
+        for process in self.members[number].living:
+            process.stop()
+        await asyncio.sleep(span_s)
+        for process in self.members[number].living:
+            process.go_on()
+        self.excuses.append(Excuse(number, now_s, now_s + span_s + DEATH_S))
+
+    # Faults
+
+    def spawn(self, work: Any) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def fault(self, fault: FaultTable) -> None:
+        """Play one fault from its time to its end."""
+        await asyncio.sleep(fault.at_s)
+        if fault.kind in ("kill", "stop", "term"):
+            await self._of_members(fault)
+            return
+        begin, end = self._act(fault)
+        begin()
+        try:
+            await asyncio.sleep(fault.for_s)
+        finally:
+            end()
+
+    async def _of_members(self, fault: FaultTable) -> None:
+        act = {"kill": self._kill, "stop": self._stop, "term": self._term}[fault.kind]
+        members = self.scenario.members_of(fault.of)
+        count = max(round(fault.share * len(members)), 1)
+        chance = generator(self.scenario.seed, "members", f"{fault.kind}{fault.at_s}")
+        chosen = [int(one) for one in chance.permutation(members)[:count]]
+        for _ in range(fault.times):
+            for step in range(fault.steps):
+                part = chosen[step :: fault.steps]
+                await asyncio.gather(*(act(number, fault.for_s) for number in part))
+            if fault.times > 1:
+                await asyncio.sleep(fault.for_s)
+
+    def _act(self, fault: FaultTable) -> tuple[Any, Any]:
+        """What begins a fault, and what ends it."""
+        if fault.kind == "list":
+            return lambda: self.registry.fail(True), lambda: self.registry.fail(False)
+        if fault.kind == "servers":
+            return lambda: self._servers(fault, True), lambda: self._servers(fault, False)
+        if fault.kind == "cut":
+            return lambda: self._cut(fault, True), lambda: self._cut(fault, False)
+        ways = [self.datagrams.way(one, other) for one, other in self._pairs(fault)]
+        lists = {"loss": "loss", "late": "late_s", "double": "doubled", "spoil": "spoilt"}
+        value = fault.late_s if fault.kind == "late" else fault.share
+        name = lists[fault.kind]
+        return (
+            lambda: [getattr(way, name).append(value) for way in ways],
+            lambda: [getattr(way, name).remove(value) for way in ways],
+        )
+
+    def _pairs(self, fault: FaultTable) -> set[tuple[int, int]]:
+        ones = self.scenario.members_of(fault.of)
+        others = self.scenario.members_of(fault.to)
+        if fault.kind == "cut":
+            others = [other for other in others if other not in ones]
+        pairs = {(one, other) for one in ones for other in others if one != other}
+        return pairs if fault.one_way else pairs | {(other, one) for one, other in pairs}
+
+    def _cut(self, fault: FaultTable, on: bool) -> None:
+        for pair in self._pairs(fault):
+            self.datagrams.way(*pair).cuts += 1 if on else -1
+        ones = self.scenario.zones_of(fault.of)
+        others = [zone for zone in self.scenario.zones_of(fault.to) if zone not in ones]
+        for one in ones:
+            for other in others:
+                # From the members of one zone to the servers of the other, and the other way round.
+                for link, there, back in [
+                    *((server.links[one], True, not fault.one_way) for server in self.servers[other]),
+                    *((server.links[other], not fault.one_way, True) for server in self.servers[one]),
+                ]:
+                    (link.cut if on else link.heal)(there, back)
+
+    def _servers(self, fault: FaultTable, on: bool) -> None:
+        for zone in self.scenario.zones_of(fault.of):
+            for server in self.servers[zone]:
+                if on:
+                    server._crash()
+                    self.registry.change(self._entry(server, zone, "DELETED", 0))
+                else:
+                    server.started_s = self.loop.time()
+                    self.spawn(server.listen())
+                    since_ms = int(time.time() * 1000)
+                    self.registry.change(self._entry(server, zone, "SERVING", since_ms))
+
+    # The run
+
+    async def play(self) -> Seen:
+        """Start all at once, load them, break what the scenario says, and judge."""
+        starts = [self.loop.create_task(self.start(number)) for number in range(len(self.members))]
+        await asyncio.wait(starts, timeout=READY_S)
+        began_s = self.loop.time()
+        loads = [self.loop.create_task(desk.play()) for desk in self.desks]
+        faults = [self.loop.create_task(self.fault(fault)) for fault in self.scenario.faults]
+        await asyncio.sleep(self.scenario.span_s)
+        for load in loads:
+            load.cancel()
+        await asyncio.gather(*faults)
+        for desk in self.desks:
+            await desk.rest()
+        await asyncio.sleep(QUIET_S)
+        asked = list(all_asked(self.desks))
+        verdict = judge(asked, self.truth.arrivals, CLASSES, self.excuses)
+        return self._seen(verdict, asked, began_s)
+
+    def _seen(self, verdict: Verdict, asked: list[Asked], began_s: float) -> Seen:
+        seconds = int(self.scenario.span_s) + 1
+        by_second: Counter[int] = Counter(int(one.sent_s - began_s) for one in asked)
+        served: Counter[int] = Counter()
+        for one in asked:
+            aim_s = CLASSES[one.cls].aim_ms / 1000
+            if one.end is End.SERVED and one.ended_s - one.sent_s <= aim_s:
+                served[int(one.sent_s - began_s)] += 1
+        first = int(self.first_s)
+        calls = self.registry.calls
+        links = [link for zone in self.servers for server in zone for link in server.links]
+        return Seen(
+            verdict,
+            self.ready_s,
+            [calls[second] for second in range(first, max(calls, default=first) + 1)],
+            self.registry.turned_away,
+            sum(link.accepted for link in links),
+            [by_second[second] for second in range(seconds)],
+            [served[second] for second in range(seconds)],
+            sum(self.datagrams.sent.values()),
+            self.datagrams.bytes,
+            [
+                line
+                for member in self.members
+                for process in member.processes
+                for line in process.lines
+                if "Traceback" in line
+            ],
+        )
+
+    async def close(self) -> None:
+        """End all that the rig has begun."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*(member.close() for member in self.members))
+        for desk in self.desks:
+            desk.close()
+        for zone in self.servers:
+            for server in zone:
+                server.close()
+        for link in self.registry_links:
+            link.close()
+        self.datagrams.close()
+
+
+def _named(table: ServerTable, name: str, count: int) -> ServerTable:
+    """The same kind of server under another name."""
+    return ServerTable(name, count=count, cores=table.cores, cold_share=table.cold_share, warm_s=table.warm_s)
+
+
+@contextlib.asynccontextmanager
+async def rigged(scenario: FleetScenario) -> AsyncIterator[Rig]:
+    """A rig for a scenario; all of it is gone behind."""
+    block, kept = free_block()
+    with kept, tempfile.TemporaryDirectory() as folder:
+        rig = Rig(scenario, Path(folder), block)
+        try:
+            yield rig
+        finally:
+            await rig.close()
+
+
+async def play(scenario: FleetScenario) -> Seen:
+    """Play a scenario once."""
+    async with rigged(scenario) as rig:
+        return await rig.play()
