--- a/dykefold/lab/fleet/registry.py
+++ b/dykefold/lab/fleet/registry.py
@@ -134,6 +134,7 @@
         self.group = group
         self.parser = httptools.HttpRequestParser(self)
         self.target = b""
+        self.came_s: float | None = None  # a call counts when it is read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport: asyncio.Transport = transport  # type: ignore[assignment]
--- a/tests/lab/test_fleet_rig.py
+++ b/tests/lab/test_fleet_rig.py
@@ -18,6 +18,8 @@
 
 
 class Echo(asyncio.Protocol):
+    came_s = None
+
     def connection_made(self, transport):
         self.transport = transport
 
