A streamed request's time begins when its body was there, not when it was read

Its server was slow to be connected; reading stopped for 223 ms with the rest of the body in the socket's buffer. At fault: Upload.finish took the time of reading the last byte, and Pool.start_time gave attempts the client's whole time from there. A request's time counts from its last byte (PROTOCOL).

Change: what is read right behind a stop, or out of what had been read before it, had come by the stop's beginning: less than 64 KiB of it are left then, which fit any socket. Attempts have what is left.

--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -504,6 +504,8 @@
         if not self.paused and self.transport is not None:
             self.paused = True
             self.transport.pause_reading()
+            if self.upload is not None:
+                self.upload.stopped_ns = self.engine.now()
 
     def _resume(self) -> None:
         """Read on, what came already first, unless too much of it still has to be answered."""
@@ -516,6 +518,8 @@
         elif self.transport is not None and not self.transport.is_closing():
             self.paused = False
             self.transport.resume_reading()
+            if self.upload is not None:
+                self.upload.resumed_ns = self.engine.now()
 
     def _must_wait(self) -> bool:
         """Whether no more may be read for now."""
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -420,10 +420,11 @@
         assert call.upload is not None
         call.deadline_ns = call.upload.whole_ns + call.wait_ns
         self._limit(held)
+        left_ns = call.deadline_ns - self.now()
         for number in range(held.attempts):
             attempt = self.attempts.get((held.id, number))
             if attempt is not None:
-                attempt.limit(max(call.wait_ns - ATTEMPT_MARGIN_NS, MS) / SECOND)
+                attempt.limit(max(left_ns - ATTEMPT_MARGIN_NS, MS) / SECOND)
                 if call.upload.begun:
                     attempt.body_sent()
 
--- a/dykefold/net/stream.py
+++ b/dykefold/net/stream.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 BUFFER_BYTES = 64 * 1024  # of an upload that wait for its server; a whole body that is held may be as long
+REST_NS = 50_000_000  # in which what the kernel holds of a body is read, once it is read on
 FRAMING_MOST = 8  # times the body's own bytes that chunks may take, as for bodies that are held
 
 
@@ -31,6 +32,7 @@
         sent: its last byte has gone to the server's connection.
         passed: bytes that went to a server's connection so far.
         whole_ns: when its last byte had come, on the clock; 0 before.
+        stopped_ns, resumed_ns: when reading it was last stopped and begun again; 0 if it never was.
         on_whole: called then, once.
         problem: code and text with which the request is to be answered, if the body can't be read on.
     """
@@ -43,10 +45,12 @@
         "on_whole",
         "passed",
         "problem",
+        "resumed_ns",
         "sent",
         "sink",
         "size",
         "stop",
+        "stopped_ns",
         "whole_ns",
     )
 
@@ -64,7 +68,7 @@
         self.on_whole: Callable[[], None] | None = None
         self.begun = self.sent = False
         self.passed = 0
-        self.whole_ns = 0
+        self.whole_ns = self.stopped_ns = self.resumed_ns = 0
         self.problem: tuple[int, bytes] | None = None
         self.sink: Sink | None = None
         self.stop: Callable[[], None] | None = None  # gives up the attempt that it flows to
@@ -86,8 +90,14 @@
         return self.whole_ns > 0
 
     def finish(self, now_ns: int) -> None:
-        """The body is whole."""
-        self.whole_ns = now_ns
+        """The body is whole.
+
+        Guards the answer against coming too late: what was read right after a stop had come by its beginning,
+        since less than `BUFFER_BYTES` of it fit any socket, and the client's time counts from its last byte.
+        """
+        still = self.resumed_ns < self.stopped_ns
+        rest = self.stopped_ns and (still or now_ns - self.resumed_ns < REST_NS)
+        self.whole_ns = self.stopped_ns if rest else now_ns
         self.flow()
         if self.on_whole is not None:
             self.on_whole()
--- a/dykefold/sim/apps.py
+++ b/dykefold/sim/apps.py
@@ -168,6 +168,7 @@
         pieces = min(arrival.pieces, len(data))
         if pieces == 1:
             connection.transport.write(data)
+            self._await_written(connection, asked)
         else:
             connection.writing = True
             cuts = sorted(self.random.sample(range(1, len(data)), pieces - 1))
@@ -184,8 +185,16 @@
             self.loop.call_later(0.001, self._write_on, connection, asked, parts[1:])
         else:
             connection.writing = False
-            # A request's time counts from its last byte.
-            asked.due_ns = max(asked.due_ns, self.run.kernel.now_ns)
+            self._await_written(connection, asked)
+
+    def _await_written(self, connection: AppConnection, asked: Asked) -> None:
+        """A request's time counts from its last byte, which the sidecar may keep waiting for its turn."""
+        if connection.closed or connection.left or asked not in connection.open:
+            return
+        if connection.transport.sock.sent_bytes < asked.end_bytes:
+            self.loop.call_later(0.001, self._await_written, connection, asked)
+        else:
+            asked.due_ns += self.run.kernel.now_ns - asked.sent_ns
 
     def _leave(self, connection: AppConnection, asked: Asked) -> None:
         if asked in connection.open:
--- a/tests/routing/test_streams.py
+++ b/tests/routing/test_streams.py
@@ -310,3 +310,19 @@
                 gc.enable()
 
     run(play())
+
+
+def test_a_body_that_waited_for_its_server_has_come_when_reading_was_stopped():
+    """Guards the answer in time: the rest of a body is in the socket's buffer while nothing is read."""
+    from dykefold.net.stream import REST_NS, Upload
+
+    def finished(stopped, resumed, now):
+        upload = Upload(None, b"", lambda: None)
+        upload.stopped_ns, upload.resumed_ns = stopped, resumed
+        upload.finish(now)
+        return upload.whole_ns
+
+    assert finished(0, 0, 900) == 900
+    assert finished(100, 800, 800 + REST_NS - 1) == 100  # right behind: it was there
+    assert finished(100, 800, 800 + REST_NS) == 800 + REST_NS  # the client had more to send
+    assert finished(100, 50, 10 * REST_NS) == 100  # still stopped: out of what had been read already
