Locks: one that is refused is closed again, and is tried only when there is something to say

Seen by reading: where a file system gives no locks, each try kept its descriptor, and a process that was alone tried and wrote its sign ten times a second for ever. At fault: Files.hold, Upgrade._tick.

Change: the descriptor is closed, the file taken away; the lock is tried again with the next sign only.

--- a/dykefold/control/board.py
+++ b/dykefold/control/board.py
@@ -124,14 +124,18 @@
             (self.path / f"{name}.lock").unlink()
 
     def hold(self, name: str) -> bool:
+        lock = -1
         try:
-            self.lock = os.open(self.path / f"{name}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            lock = os.open(self.path / f"{name}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
             self._note(name, f"has no lock: {error.strerror}")
-            with contextlib.suppress(OSError):
+            with contextlib.suppress(OSError):  # a file that nobody locks would say that this process is gone
                 (self.path / f"{name}.lock").unlink()
+            if lock >= 0:
+                os.close(lock)
             return False
+        self.lock = lock
         return True
 
     def held(self, name: str) -> bool | None:
--- a/dykefold/control/upgrade.py
+++ b/dykefold/control/upgrade.py
@@ -104,10 +104,10 @@
 
     def _tick(self) -> None:
         # A process that is alone looks at one time of one folder, ten times a second.
-        if self.others or self.board.changed() or not (self.handover.shown and self.locked):
+        if self.others or self.board.changed() or not self.handover.shown:
             claim = self.handover.claim
             self._look()
-            if self.others or claim != self.handover.claim or not (self.handover.shown and self.locked):
+            if self.others or claim != self.handover.claim or not self.handover.shown:
                 self.keep()
         self.timer = self.loop.call_later(LOOK_S, self._tick)
 
--- a/tests/control/test_handover.py
+++ b/tests/control/test_handover.py
@@ -1,5 +1,9 @@
 """The hand-over as a state table: every step that fails has an end, and parts never exceed the whole."""
 
+import errno
+import fcntl
+import os
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -269,3 +273,19 @@
     one.showed(now + 1, True)
     assert one.look(last + LOOK_NS, [], WHOLE, 0).most == WHOLE // 2
     assert one.look(last + 5 * LOOK_NS, [], WHOLE, 0).most == WHOLE
+
+
+def test_locks_tell_who_lives_and_one_that_can_not_be_had_leaves_nothing(tmp_path, monkeypatch):
+    board = Files(str(tmp_path))
+    assert board.held("sign-a") is None
+    assert board.hold("sign-a") and board.held("sign-a") is True
+    os.close(board.lock)  # as when its process ends
+    assert board.held("sign-a") is False
+
+    def refused(*_):
+        raise OSError(errno.ENOLCK, "no locks")
+
+    monkeypatch.setattr(fcntl, "flock", refused)
+    before = len(os.listdir("/proc/self/fd"))
+    assert not any(board.hold("sign-b") for _ in range(20))
+    assert board.held("sign-b") is None and len(os.listdir("/proc/self/fd")) == before
