A process that stood still reads what came before it closes what is idle

Seen by a probe: a request that comes while its process stands still for 2.3 s (on a connection that was used before) or 3 s (on any) is reset with its connection, in the first moment after. Excluded: the client, the kernel (the bytes stand in the socket's buffer), the head's time limit (it begins with the first byte read). At fault: Engine._sweep, a timer, which after a stall runs before the sockets are looked at, and by the clock every connection has been idle for the whole of it.

Result: red before on a fresh connection (the used one depends on the moment), green after.

--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -104,7 +104,7 @@
         self.stopped = loop.create_future()
         self.listener: Listener | None = None
         self.reported_at = -math.inf  # when an exception of the module was last logged
-        self._sweep()
+        self._sweep(self.monotonic())
 
     def serve_one(
         self,
@@ -250,11 +250,20 @@
 
     # Housekeeping and the end
 
-    def _sweep(self) -> None:
-        for pool in self.pools:
-            pool.upstreams.sweep()
-        self.clients.sweep()
-        self.loop.call_later(SWEEP_EVERY, self._sweep)
+    def _sweep(self, due: float) -> None:
+        """Let go of what has been idle for too long.
+
+        A process that stood still, or whose loop is late, doubts itself first: what came meanwhile has not
+        been read yet, and a connection with a request on it would be closed as idle. The next sweep comes
+        soon, and is held whatever the loop does.
+        """
+        now = self.monotonic()
+        late = now - due >= SWEEP_EVERY
+        if not late:
+            for pool in self.pools:
+                pool.upstreams.sweep()
+            self.clients.sweep()
+        self.loop.call_later(SWEEP_EVERY, self._sweep, math.inf if late else now + SWEEP_EVERY)
 
     def drain(self) -> None:
         """Begin a planned end: answer what is held and what still comes for a moment, then stop."""
--- a/tests/control/test_upgrade_faults.py
+++ b/tests/control/test_upgrade_faults.py
@@ -6,7 +6,7 @@
 import os
 
 import pytest
-from net_helpers import run, until
+from net_helpers import message, read_message, run, until
 
 from dykefold.lab.fleet.judge import Ban, Excuse, judge
 from dykefold.lab.fleet.process import call
@@ -257,3 +257,26 @@
         assert not it.verdict().violations
 
     run(play())
+
+
+@pytest.mark.parametrize("used", [False, True], ids=["fresh", "used"])
+def test_a_request_that_came_while_the_process_stood_still_is_answered(tmp_path, used):
+    """Guards what has not been read yet against the end of its connection's idleness."""
+
+    async def play():
+        async with world(tmp_path, rate=20.0) as it:
+            (process,) = it.member.living
+            reader, writer = await asyncio.open_connection(*process.address)
+            for number in range(int(used)):
+                writer.write(message("lookup", f"w{number}"))
+                assert (await read_message(reader)).code == 200
+            process.stop()
+            writer.write(message("lookup", "q", "9000m"))
+            began = asyncio.get_running_loop().time()
+            await asyncio.sleep(3.0)
+            process.go_on()
+            it.excuses.append(Excuse(0, began - 0.2, began + 3.5))
+            assert (await read_message(reader)).code == 200
+            writer.close()
+
+    run(play())
