Upgrades: say the first time that the kernel refuses the filter

Change: the first refusal is said, and again only after one that was taken. Result: tests of upgrades pass.

--- a/dykefold/control/upgrade.py
+++ b/dykefold/control/upgrade.py
@@ -38,7 +38,7 @@
         self.others: dict[str, Sign] = {}  # of the processes that live
         self.sock: socket.socket | None = None  # that clients come to
         self.places = Places()
-        self.steers = False
+        self.steers = True  # no filter was refused, or it has been said
         self.locked = False
         self.told: dict[str, int] = {}  # versions of the lists that others can read
         self.timer: asyncio.TimerHandle | None = None
