View of the fleet: words, questions, suspicions, comparisons and records, without I/O

Need: sidecars know a number, fleet-size, and not who is there. Words on members are one number each and merge to the greater; members ask one another (SWIM), suspect, deny, and compare sums of their words, those that count as gone among them. A process that ran late or hears nobody concludes nothing of others.

Nothing uses it yet.

--- /dev/null
+++ b/dykefold/fleet/knowledge.py
@@ -0,0 +1,150 @@
+"""What members tell one another beside who is there: small records with origin, age and bound. No I/O.
+
+A record's key is its kind, origin and subject. Two records of a key merge to the one of the greater
+incarnation and sequence of their origin; of one origin and kind the `most` greatest are kept. Both are
+maxima, so the order in which records come makes no difference (a semilattice; a record that is beaten by
+`most` others stays beaten, since what replaces any of those is greater still). Age takes no part in that; of
+two equal records the older one stands. Only where the table is full may members keep different ones.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+from .datagrams import Record
+from .news import News
+from .pace import SECOND
+
+RECORDS_MOST = 8192  # some MB
+SEQUENCE_MOST = (1 << 32) - 1
+
+
+class Topic(IntEnum):
+    """What a record is about."""
+
+    DEMAND = 1  # subject: zone and class (`demand_subject`); value: sixteenths of a first try a second
+    LIST = 2  # value: the newest version of the list of servers seen, modulo 2^32
+    FAILS = 3  # subject: a server that its origin has ejected, or found silent again
+    ANSWERS = 4  # subject: a server that answered its origin after that
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """How long a record of a topic says anything, and how many one origin may have."""
+
+    lasts_ns: int
+    most: int
+
+
+BOUNDS = {
+    Topic.DEMAND: Bound(30 * SECOND, 8),
+    Topic.LIST: Bound(60 * SECOND, 1),
+    Topic.FAILS: Bound(10 * SECOND, 8),
+    Topic.ANSWERS: Bound(10 * SECOND, 8),
+}
+DEMAND_UNIT = 16  # steps of a first try a second
+
+Key = tuple[int, int, int]  # topic, origin, subject
+
+
+def demand_subject(zone: int, cls: int) -> int:
+    return (zone & 0xFFFF) << 16 | cls & 0xFFFF
+
+
+def _order(record: Record) -> tuple[int, int]:
+    return record.incarnation, record.sequence
+
+
+class Knowledge:
+    """The records that a member has heard or made."""
+
+    def __init__(self, me: int) -> None:
+        self.me = me
+        self.records: dict[Key, tuple[Record, int]] = {}  # with the time at which the origin said it
+        self.of: dict[tuple[int, int], set[int]] = {}  # subjects by topic and origin
+        self.news: News[Key] = News()
+        self.sequence = 0
+
+    def __len__(self) -> int:
+        return len(self.records)
+
+    def say(self, now_ns: int, incarnation: int, topic: Topic, subject: int, value: int) -> None:
+        """Make or renew a record of one's own."""
+        self.sequence = min(self.sequence + 1, SEQUENCE_MOST)
+        value = min(max(value, 0), 0xFFFFFFFF)
+        self.merge(now_ns, Record(topic, self.me, subject, incarnation, self.sequence, value, 0))
+
+    def merge(self, now_ns: int, record: Record) -> bool:
+        """Take a record; whether it says more than what was known."""
+        try:
+            bound = BOUNDS[Topic(record.kind)]
+        except ValueError:
+            return False  # a later version's
+        said_ns = now_ns - record.age_ns
+        if now_ns - said_ns >= bound.lasts_ns:
+            return False
+        key = (record.kind, record.origin, record.subject)
+        known = self.records.get(key)
+        if known is not None:
+            if _order(record) <= _order(known[0]):
+                if _order(record) == _order(known[0]) and said_ns < known[1]:
+                    self.records[key] = (known[0], said_ns)
+                return False
+        else:
+            subjects = self.of.setdefault((record.kind, record.origin), set())
+            if len(subjects) >= bound.most:
+                least = min(subjects, key=lambda one: _order(self.records[key[0], key[1], one][0]))
+                if _order(record) <= _order(self.records[key[0], key[1], least][0]):
+                    return False
+                self._drop((key[0], key[1], least))
+                subjects = self.of.setdefault((record.kind, record.origin), set())
+            if len(self.records) >= RECORDS_MOST:
+                return False
+            subjects.add(record.subject)
+        self.records[key] = (record, said_ns)
+        self.news.add(key)
+        return True
+
+    def _drop(self, key: Key) -> None:
+        del self.records[key]
+        self.news.drop(key)
+        subjects = self.of[key[:2]]
+        subjects.discard(key[2])
+        if not subjects:
+            del self.of[key[:2]]
+
+    def expire(self, now_ns: int) -> None:
+        """Forget what is too old to say anything."""
+        old = [
+            key
+            for key, (record, said_ns) in self.records.items()
+            if now_ns - said_ns >= BOUNDS[Topic(record.kind)].lasts_ns
+        ]
+        for key in old:
+            self._drop(key)
+
+    def told(self, now_ns: int, most: int, limit: int) -> list[Record]:
+        """The next records to tell, with their ages now."""
+        keys = self.news.take(most, limit) if most > 0 else []
+        return [self._aged(now_ns, *self.records[key]) for key in keys if key in self.records]
+
+    @staticmethod
+    def _aged(now_ns: int, record: Record, said_ns: int) -> Record:
+        return replace(record, age_ns=max(now_ns - said_ns, 0))
+
+    def origins(self, now_ns: int, topic: Topic, subject: int, live: Iterable[int]) -> set[int]:
+        """Which of these members say so now."""
+        found = set()
+        for origin in live:
+            known = self.records.get((topic, origin, subject))
+            if known is not None and now_ns - known[1] < BOUNDS[topic].lasts_ns:
+                found.add(origin)
+        return found
+
+    def about(self, now_ns: int, topic: Topic) -> Iterator[tuple[int, int, int, int]]:
+        """Origin, subject, value and time of each record of a topic that still says something."""
+        for (kind, origin, subject), (record, said_ns) in self.records.items():
+            if kind == topic and now_ns - said_ns < BOUNDS[topic].lasts_ns:
+                yield origin, subject, record.value, said_ns
--- /dev/null
+++ b/dykefold/sim/views.py
@@ -0,0 +1,158 @@
+"""Many views on a virtual clock, with a network between them that breaks: the decision code alone.
+
+For figures at sizes that no machine has processes for, for tests of single decisions, for searches of orders.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+
+from ..fleet.pace import SECOND, Pace
+from ..fleet.view import Change, View
+from ..fleet.words import LIVE, State
+
+MS = 1_000_000
+START_MS = 1_700_000_000_000  # of the clock on the wall, when a world begins
+
+
+class Views:
+    """Members 0 to `size` - 1 of a fleet; those that run are in `living`."""
+
+    def __init__(
+        self,
+        size: int,
+        seed: int,
+        loss: float = 0.0,
+        delay_ns: tuple[int, int] = (MS, 40 * MS),
+        pace: Pace | None = None,
+    ) -> None:
+        """Make the world; nobody runs yet.
+
+        Args:
+            loss: part of the datagrams that get lost.
+            delay_ns: least and most time that one takes.
+        """
+        self.size, self.loss, self.delay_ns = size, loss, delay_ns
+        self.pace = pace or Pace()
+        self.chance = random.Random(seed)
+        self.now_ns = SECOND  # of a clock that runs alike for all
+        self.roster = [(f"10.3.{number >> 8}.{number & 255}", 7946) for number in range(size)]
+        self.living: dict[int, View] = {}
+        self.stopped_until: dict[int, int] = {}
+        self.clock_off_ms: dict[int, int] = {}
+        self.cut: Callable[[int, int], bool] = lambda _from, _to: False
+        self.doubled = 0.0  # part of the datagrams that come twice
+        self.spoilt = 0.0  # ... and that come with a bit turned
+        self.queue: list[tuple[int, int, int, View, int, bytes]] = []
+        self.order = 0
+        self.sent = self.sent_bytes = 0
+        self.changes: list[tuple[int, Change]] = []  # by whom, what
+        self.watch: set[int] | None = None  # whose changes are kept; None for all
+
+    # What happens to members
+
+    def start(self, number: int) -> View:
+        """Start a member, again if it has run before."""
+        wall_ms = START_MS + self.now_ns // MS + self.clock_off_ms.get(number, 0)
+        chance = random.Random(self.chance.getrandbits(64))
+        view = View(self.roster, number, wall_ms, self.pace, chance, self.now_ns)
+        self.living[number] = view
+        self._wake(view, number, self.now_ns)
+        return view
+
+    def kill(self, number: int) -> None:
+        del self.living[number]
+
+    def end(self, number: int) -> None:
+        """Begin a planned end; `kill` is the last of it."""
+        self.living[number].leave(self.now_ns, last=False)
+        self._flush(self.living[number], number)
+
+    def stop(self, number: int, for_ns: int) -> None:
+        """Have a process stand still: what comes for it waits."""
+        self.stopped_until[number] = self.now_ns + for_ns
+
+    # The run
+
+    def run(self, for_ns: int, until: Callable[[], bool] | None = None, look_ns: int = 50 * MS) -> bool:
+        """Go on for so long, or until this holds, looked at so often; whether it came to hold."""
+        end_ns, look = self.now_ns + for_ns, self.now_ns
+        queue = self.queue
+        while queue and queue[0][0] <= end_ns:
+            due, _, number, view, sender, data = heapq.heappop(queue)
+            while until is not None and look <= due:
+                self.now_ns = max(look, self.now_ns)
+                if until():
+                    heapq.heappush(queue, (due, self._next(), number, view, sender, data))
+                    return True
+                look += look_ns
+            self.now_ns = due
+            if self.living.get(number) is not view:
+                continue  # it has ended since
+            back = self.stopped_until.get(number, 0)
+            if back > due:
+                heapq.heappush(queue, (back, self._next(), number, view, sender, data))
+            elif sender < 0:
+                self._wake(view, number, view.tick(due))
+                self._flush(view, number)
+            else:
+                view.hear(due, sender, data)
+                self._flush(view, number)
+        self.now_ns = end_ns
+        return until is not None and until()
+
+    def _next(self) -> int:
+        self.order += 1
+        return self.order
+
+    def _wake(self, view: View, number: int, due_ns: int) -> None:
+        heapq.heappush(self.queue, (due_ns, self._next(), number, view, -1, b""))
+
+    def _flush(self, view: View, number: int) -> None:
+        if view.changes:
+            if self.watch is None or number in self.watch:
+                self.changes += [(number, change) for change in view.changes]
+            view.changes.clear()
+        for peer, data in view.out:
+            self.send(number, peer, data)
+        view.out.clear()
+
+    def send(self, sender: int, peer: int, data: bytes) -> None:
+        """Give a datagram to the network."""
+        chance = self.chance
+        self.sent += 1
+        self.sent_bytes += len(data)
+        if self.cut(sender, peer):
+            return
+        for _ in range(2 if self.doubled and chance.random() < self.doubled else 1):
+            target = self.living.get(peer)
+            if target is None or (self.loss and chance.random() < self.loss):
+                continue
+            if self.spoilt and chance.random() < self.spoilt:
+                spoilt = bytearray(data)
+                spoilt[chance.randrange(len(data))] ^= 1 << chance.randrange(8)
+                data = bytes(spoilt)
+            due = self.now_ns + chance.randint(*self.delay_ns)
+            heapq.heappush(self.queue, (due, self._next(), peer, target, sender, data))
+
+    # What is seen
+
+    def state(self, of: int, by: int) -> State:
+        return self.living[by].table.state(of)
+
+    def right(self) -> bool:
+        """Whether each member that runs counts exactly those as live that do."""
+        true = sorted(self.living)
+        wrong = self.size - len(true)
+        for view in self.living.values():
+            table = view.table
+            if table.live() != len(true) or table.counts[State.UNKNOWN] > wrong:
+                return False
+        return all(view.table.state(number) in LIVE for view in self.living.values() for number in true)
+
+    def equal(self) -> bool:
+        """Whether all members that run hold the same words."""
+        tables = [view.table for view in self.living.values()]
+        return all(table.sums == tables[0].sums for table in tables)
--- /dev/null
+++ b/tests/fleet/test_view.py
@@ -0,0 +1,247 @@
+"""Decisions of the view, many members on a virtual clock. See docs/design/view.md for the hard cases."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from dykefold.fleet import datagrams
+from dykefold.fleet.datagrams import Datagram, Kind
+from dykefold.fleet.knowledge import Topic
+from dykefold.fleet.pace import HEARD_OF_ONE_PER_S, LEAVING_NS, SECOND, Pace
+from dykefold.fleet.view import View
+from dykefold.fleet.words import State, incarnation_of, word
+from dykefold.sim.views import MS, Views
+
+
+def fleet(size: int, seed: int = 1, loss: float = 0.0) -> Views:
+    world = Views(size, seed, loss)
+    for number in range(size):
+        world.start(number)
+    assert world.run(20 * SECOND, world.right)
+    return world
+
+
+def bound(world: Views) -> int:
+    return world.pace.settled_ns(world.size)
+
+
+def said_gone(world: Views) -> set[int]:
+    return {change.member for _, change in world.changes if change.after is State.GONE}
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.3])
+def test_all_start_at_once_and_most_die_at_once(loss: float) -> None:
+    world = fleet(30, 2, loss)
+    for number in range(21):
+        world.kill(number)
+    assert world.run(bound(world), world.right)
+    assert said_gone(world) <= set(range(21))
+    for number in range(21):
+        world.start(number)
+    assert world.run(bound(world), world.right)
+
+
+@pytest.mark.parametrize("parts", [2, 3])
+def test_parts_that_lost_each_other_meet_again_without_a_reset(parts: int) -> None:
+    world = fleet(24, 3)
+    world.cut = lambda sender, peer: sender % parts != peer % parts
+    world.run(3 * SECOND)
+    for number in (0, 1):  # a restart on both sides, which nobody beyond the cut hears of
+        world.kill(number)
+        world.start(number)
+    world.run(17 * SECOND)
+    assert [len(world.living[number].live(world.now_ns)) for number in (0, 1)] == [24 // parts] * 2
+    world.cut = lambda sender, peer: False
+    assert world.run(bound(world), lambda: world.right() and world.equal())
+
+
+def test_a_way_that_is_cut_one_way_kills_nobody() -> None:
+    world = fleet(12, 4)
+    world.changes.clear()
+    world.cut = lambda sender, peer: sender < 3 and 3 <= peer < 9
+    world.run(20 * SECOND)
+    assert not said_gone(world)
+
+
+def test_halves_between_which_nothing_passes_one_way_keep_their_own_and_meet_again() -> None:
+    world = fleet(12, 4)
+    world.changes.clear()
+    world.cut = lambda sender, peer: sender < 6 <= peer
+    world.run(20 * SECOND)
+    gone = [(by, change.member) for by, change in world.changes if change.after is State.GONE]
+    assert not [member for by, member in gone if (by < 6) == (member < 6)]
+    assert all(world.state(0, by) is State.GONE for by in range(6, 12))
+    world.cut = lambda sender, peer: False
+    assert world.run(bound(world), world.right)
+
+
+def test_a_member_that_speaks_and_hears_nobody_does_not_count_the_others_as_gone() -> None:
+    world = fleet(12, 5)
+    world.changes.clear()
+    world.cut = lambda sender, peer: peer == 3
+    world.run(30 * SECOND)
+    assert said_gone(world) <= {3}
+    deaf = world.living[3]
+    assert deaf.alone
+    assert deaf.live(world.now_ns) == [3]  # it can tell nothing of them
+    world.cut = lambda sender, peer: False
+    assert world.run(bound(world), world.right)
+
+
+def test_a_member_that_stops_for_3_s_ten_times_is_never_gone_and_counts_nobody_as_gone() -> None:
+    world = fleet(12, 6)
+    world.changes.clear()
+    for _ in range(10):
+        world.stop(5, 3 * SECOND)
+        world.run(5 * SECOND)
+    assert not said_gone(world)
+    assert not any(
+        by == 5 and change.after is State.SUSPECT and change.cause.startswith("neither")
+        for by, change in world.changes
+    )
+    assert world.run(bound(world), world.right)
+
+
+def test_a_restart_outdoes_the_word_of_an_earlier_start_with_the_clock_set_back() -> None:
+    world = fleet(8, 7)
+    before = world.living[2].incarnation
+    for off_ms in (-10_000, -3_600_000):
+        world.kill(2)
+        world.clock_off_ms[2] = off_ms
+        world.start(2)
+        assert world.run(bound(world), lambda: world.right() and world.equal())
+        assert world.living[2].incarnation > before
+        before = world.living[2].incarnation
+
+
+def test_planned_ends_are_told_and_not_discovered() -> None:
+    world = fleet(10, 8)
+    world.changes.clear()
+    world.end(4)
+    assert world.run(2 * SECOND, lambda: all(world.state(4, by) is State.LEAVING for by in world.living))
+    assert not any(4 in view.live(world.now_ns) for by, view in world.living.items() if by != 4)
+    world.living[4].leave(world.now_ns, last=True)
+    world._flush(world.living[4], 4)
+    world.kill(4)
+    assert world.run(2 * SECOND, lambda: all(world.state(4, by) is State.LEFT for by in world.living))
+    assert not any(change.after is State.SUSPECT for _, change in world.changes)
+
+
+def test_an_end_that_is_not_completed_has_its_time() -> None:
+    world = fleet(6, 9)
+    world.end(1)
+    world.run(SECOND)
+    world.kill(1)
+    world.run(LEAVING_NS + 5 * SECOND)
+    assert all(world.state(1, by) is State.LEFT for by in world.living)
+
+
+def test_an_older_process_of_a_member_that_leaves_does_not_outbid_the_newer_one() -> None:
+    world = fleet(6, 10)
+    old = world.living[2]
+    old.leave(world.now_ns, last=False)
+    newer = word(old.incarnation + 5, State.ALIVE)
+    gram = Datagram(Kind.NEWS, old.roster, world.living[0].own, entries=[(2, newer)])
+    old.hear(world.now_ns, 0, datagrams.write(gram))
+    assert old.own < newer
+
+
+def test_a_flood_from_a_known_address_is_dropped_unread_and_moves_nobody() -> None:
+    world = fleet(8, 11)
+    world.changes.clear()
+    victim = world.living[0]
+    gram = datagrams.write(Datagram(Kind.PING, victim.roster, world.living[7].own))
+    before = victim.counts["heard"]
+    for _ in range(200):
+        for _ in range(50):
+            victim.hear(world.now_ns, 7, gram)
+        world.run(50 * MS)
+    heard = victim.counts["heard"] - before
+    assert heard < 11 * HEARD_OF_ONE_PER_S + 10 * 30  # ten seconds of its budget, and what the others send
+    assert not world.changes
+    assert world.right()
+
+
+def test_noise_duplicates_and_spoilt_datagrams_change_nothing() -> None:
+    world = fleet(8, 12)
+    world.changes.clear()
+    world.doubled, world.spoilt = 0.5, 0.2
+    chance = random.Random(1)
+    for _ in range(300):
+        world.living[0].hear(world.now_ns, 1, chance.randbytes(chance.randrange(257)))
+        world.run(50 * MS)
+    assert not said_gone(world)
+    assert world.living[0].counts["not read"] > 200
+    assert not any(change.after not in (State.ALIVE, State.SUSPECT) for _, change in world.changes)
+
+
+def test_a_member_that_counts_as_gone_is_told_and_its_words_on_others_are_not_taken() -> None:
+    world = fleet(4, 13)
+    view, other = world.living[0], world.living[1]
+    view._learn(world.now_ns, 1, word(other.incarnation, State.GONE), "test")
+    claim = (2, word(world.living[2].incarnation, State.GONE))
+    gram = Datagram(Kind.NEWS, view.roster, other.own, entries=[claim])
+    view.hear(world.now_ns, 1, datagrams.write(gram))
+    assert view.table.state(2) is State.ALIVE
+    assert world.run(bound(world), world.right)  # it has denied it
+    assert incarnation_of(other.own) == incarnation_of(view.table.words[1])
+
+
+def test_members_of_a_renumbered_fleet_answer_and_take_no_numbers() -> None:
+    world = fleet(6, 14)
+    view = world.living[0]
+    roster = [view.addresses[0], *reversed(view.addresses[1:])]
+    view.renumber(world.now_ns, roster, 0)
+    assert view.table.state(5) is State.ALIVE  # known by its address
+    gone = word(world.living[5].incarnation, State.GONE)
+    old = world.living[1]
+    view.hear(world.now_ns, 5, datagrams.write(Datagram(Kind.NEWS, old.roster, old.own, entries=[(4, gone)])))
+    assert view.table.state(4) is State.ALIVE
+    view.out.clear()
+    view.hear(world.now_ns, 5, datagrams.write(Datagram(Kind.PING, old.roster, old.own, nonce=9)))
+    assert [datagrams.read(data).kind for _, data in view.out] == [Kind.ACK]  # type: ignore[union-attr]
+
+
+def test_a_process_without_a_view_counts_as_live_while_it_is_heard() -> None:
+    world = Views(3, 15)
+    world.start(0)
+    world.start(1)
+    for _ in range(30):
+        world.living[0].heard_older(world.now_ns, 2)
+        world.run(SECOND)
+    assert world.state(2, 0) is State.GONE
+    assert world.living[0].live(world.now_ns) == [0, 1, 2]
+    assert world.living[1].live(world.now_ns) == [0, 1]
+
+
+def test_records_reach_all_and_age() -> None:
+    world = fleet(20, 16)
+    view = world.living[3]
+    view.say(world.now_ns, Topic.FAILS, 77, 0)
+    assert world.run(
+        2 * SECOND,
+        lambda: all((Topic.FAILS, 3, 77) in other.knowledge.records for other in world.living.values()),
+    )
+    world.run(12 * SECOND)
+    assert not any(other.knowledge.records for other in world.living.values())
+
+
+def test_a_dearer_datagram_slows_the_view() -> None:
+    assert Pace.by_price(0.01).period_ns < Pace.by_price(0.06).period_ns == Pace.by_price(0.06).period_ns
+    assert Pace.by_price(9.0).period_ns == 4 * Pace.by_price(0.0).period_ns
+
+
+def test_the_time_to_settle_grows_with_the_logarithm_of_the_fleet() -> None:
+    pace = Pace()
+    steps = [pace.settled_ns(10 * 4**step) - pace.settled_ns(10 * 4 ** (step - 1)) for step in (1, 2, 3, 4)]
+    assert max(steps) < 1.1 * min(steps)
+
+
+def test_a_view_of_one_is_alone_and_steady() -> None:
+    view = View([("10.3.0.1", 1)], 0, 5, Pace(), random.Random(1), SECOND)
+    view.tick(SECOND)
+    assert view.steady(SECOND)
+    assert view.live(SECOND) == [0]
+    assert not view.out
