View of the fleet in the process, told to people, and watched by the rig

Need: the view off by default, on by [fleet] of the operator's file; what a member holds is told at a listener of its own (dykefold fleet view), changes are logged, five lines a second. The older process of an upgrade closes its datagrams when a newer one takes clients: else each would hear half of what is said to the member.

The rig looks at all views four times a second and tells from when they were right; it has floods, upgrades within a fleet and clocks that are off.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -16,11 +16,13 @@
 
 from .configuration import Config, ConfigError, read_config, read_service_file, system_limit
 from .control.door import DESCRIPTORS as DOOR_DESCRIPTORS
+from .control.door import Door
 from .control.presence import Presence
 from .net.engine import Engine
 from .net.peers import Address, Peers
 
 if TYPE_CHECKING:
+    from .fleet.edge import Fleet
     from .operators import Service
     from .routing.plan import Plan
     from .routing.services import Services
@@ -29,7 +31,8 @@
 
 
 def start_engine(loop: asyncio.AbstractEventLoop, config: Config) -> Engine:
-    set_aside = DOOR_DESCRIPTORS if config.control is not None else 0
+    doors = [config.control, config.fleet.listen if config.fleet.view else None]
+    set_aside = DOOR_DESCRIPTORS * sum(door is not None for door in doors)
     engine = Engine(loop, config.sockets, config.memory, config.caps, set_aside=set_aside)
     engine.serve_one(
         config.settings, config.transport, config.seed, config.discovery, config.names, config.known
@@ -45,6 +48,7 @@
         self.config = config  # what the process runs by
         self.path = path
         self.service = service
+        self.fleet: Fleet | None = None
 
     def __call__(self) -> None:
         engine = self.engine
@@ -60,6 +64,8 @@
         engine.limit(config.sockets, config.caps)
         if engine.peers is not None:
             engine.peers.turn(config.settings.index, config.peers, config.peers_all)
+        if self.fleet is not None:
+            self.fleet.renumber(config.peers, config.settings.index)
         if engine.pool.discovery is not None:
             engine.pool.discovery.turn(config.discovery)
 
@@ -71,7 +77,9 @@
     presence = Presence(loop, engine, config.control, os.environ.get("TMPDIR"))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, presence.drain)
-    loop.add_signal_handler(signal.SIGHUP, Reload(engine, config, path, service))
+    reload = Reload(engine, config, path, service)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    fleet = listener = None
     try:
         if not await presence.begin():
             _end_unbegun(engine, presence)
@@ -82,10 +90,37 @@
                 lambda: peers, sock=_datagram_socket(config.peer_listen, presence.shared)
             )
             engine.peers = peers
+            fleet = reload.fleet = _keep_view(loop, engine, config, peers)
+        if fleet is not None and config.fleet.listen is not None:
+            listener = _show_view(loop, fleet, config.fleet.listen)
         address = presence.listen(config.listen)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
-    await _until_stopped(engine, config.name, address, presence)
+    await _until_stopped(engine, config.name, address, presence, fleet)
+    if listener is not None:
+        listener.close()
+
+
+def _keep_view(loop: asyncio.AbstractEventLoop, engine: Engine, config: Config, peers: Peers) -> Fleet | None:
+    """Take part in the fleet's view, where the operator's file asks for it and the settings allow it."""
+    settings = config.settings
+    if not (config.fleet.view and settings.can_tell and len(config.peers) > 1):
+        return None
+    from .fleet.edge import Fleet  # off by default, and then it costs no memory
+
+    me, zone = settings.index, settings.zone
+    return Fleet(loop, engine, peers, config.peers, me, zone, settings.price_peer, config.seed)
+
+
+def _show_view(loop: asyncio.AbstractEventLoop, fleet: Fleet, address: Address) -> Door:
+    """Answer those who ask for the view at an address. Raises OSError if it can't be had."""
+    from .control.calls import read_view
+    from .fleet.edge import Teller
+
+    sock = socket.create_server(address, backlog=DOOR_DESCRIPTORS, reuse_port=True)
+    door = Door(loop, sock, Teller(fleet), read=read_view)
+    log.info("the view is told at %s:%d", *door.address)
+    return door
 
 
 def _datagram_socket(address: Address, shared: bool) -> socket.socket:
@@ -103,7 +138,9 @@
     engine.close()
 
 
-async def _until_stopped(engine: Engine, name: str, address: Address, presence: Presence) -> None:
+async def _until_stopped(
+    engine: Engine, name: str, address: Address, presence: Presence, fleet: Fleet | None = None
+) -> None:
     # What was made until now lives as long as the process: collections need not look at it again, nor
     # come as often as for a program that makes cycles.
     gc.collect()
@@ -111,6 +148,8 @@
     gc.set_threshold(20_000, 20, 50)
     log.info("%s listens at %s:%d", name, *address)
     await engine.stopped
+    if fleet is not None:
+        fleet.close()
     presence.close()
     engine.close()
 
--- a/dykefold/configuration.py
+++ b/dykefold/configuration.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from .admission.addresses import Caps
+from .fleet.options import Options
 from .interface import Settings
 from .net.discovery import Names, News, read_news, split_address
 from .net.limits import MB
@@ -44,6 +45,7 @@
 
     Attributes:
         control: where operators call; None where there is no door.
+        fleet: what the operator's file asks of the view.
         shape: the keys of the file, for `lacking`.
     """
 
@@ -62,6 +64,7 @@
     names: Names
     known: News
     caps: Caps
+    fleet: Options
     shape: Shape
 
 
@@ -114,7 +117,7 @@
     """
     if not path:
         raise ConfigError("GW_CONFIG is not set")
-    caps = _read_caps(service)
+    caps, fleet = _read_operators(service)
     try:
         with open(path, encoding="utf-8") as file:
             data = json.load(file)
@@ -123,7 +126,7 @@
     if not isinstance(data, dict):
         raise ConfigError(f"{path}: no JSON object")
     checked = _Checked(data)
-    config = _check(checked, caps)
+    config = _check(checked, caps, fleet)
     if before is not None:
         checked.problems += [f"{key} is missing" for key in lacking(before.shape, data)]
     if checked.problems:
@@ -161,7 +164,7 @@
     return " ".join(str(error).split())
 
 
-def _check(checked: _Checked, caps: Caps) -> Config:
+def _check(checked: _Checked, caps: Caps, fleet: Options) -> Config:
     nobody = ("0.0.0.0", 0)
     settings = checked.need("settings", nested_settings, Settings([], [""]))
     transport = checked.read("settings", nested_transport, Transport([], 0, 0))
@@ -183,6 +186,7 @@
         names=names,
         known=checked.need("known", lambda known: read_news(known, names), News(0, True, [])),
         caps=caps,
+        fleet=fleet,
         shape=shape_of(checked.data),
     )
 
@@ -215,16 +219,16 @@
     return int(sockets), int(memory_mb * MB)
 
 
-def _read_caps(service: str | None) -> Caps:
+def _read_operators(service: str | None) -> tuple[Caps, Options]:
     if not service:
-        return Caps()
+        return Caps(), Options()
     read = read_service_file(service)
     if read.control is not None:
         raise ConfigError(f"{service}: control: beside the platform's file that one names the door", code=2)
     if read.plan is not None:
         text = f"{service}: pools and routes are for `serve`; beside the platform's file they have no meaning"
         raise ConfigError(text, code=2)
-    return read.caps
+    return read.caps, read.fleet
 
 
 def read_service_file(path: str) -> Service:
--- a/dykefold/control/calls.py
+++ b/dykefold/control/calls.py
@@ -20,6 +20,8 @@
     HEALTH = "healthcheck"
     OUT = "maint"  # nothing more to a server
     BACK = "ready"  # it may be used again
+    VIEW = "fleet"  # what the process holds of its fleet: at a listener of its own, not at the door
+    BRIEF = "fleet/brief"  # ... in a line
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,14 @@
 YES = Reply(200, "ok")
 
 
+def read_view(method: str, target: str) -> Call | Reply:
+    """The calls that there are at a listener for the view."""
+    action = {f"/{one.value}": one for one in (Action.VIEW, Action.BRIEF)}.get(target.partition("?")[0])
+    if action is None:
+        return Reply(404, "no such call")
+    return Call(action) if method == "GET" else Reply(405, "the view is asked for with GET", "GET")
+
+
 def read_call(method: str, target: str) -> Call | Reply:
     """The call that a request is, or the answer to one that is none."""
     if len(target) > TARGET_MOST:
--- a/dykefold/control/door.py
+++ b/dykefold/control/door.py
@@ -11,6 +11,7 @@
 import logging
 import socket
 from collections import OrderedDict
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Protocol
 
@@ -46,8 +47,15 @@
         sock: socket.socket,
         operations: Operations,
         system: System = SYSTEM,
+        read: Callable[[str, str], Call | Reply] = read_call,
     ) -> None:
+        """Begin to take calls.
+
+        Args:
+            read: what a method and a target ask for; the platform's calls where none is given.
+        """
         self.loop = loop
+        self.read = read
         self.sock = sock
         self.operations = operations
         self.monotonic = system.monotonic
@@ -150,7 +158,7 @@
         if self.answered:
             return
         method = self.parser.get_method().decode("latin-1")
-        call = read_call(method, self.target.decode("latin-1"))
+        call = self.door.read(method, self.target.decode("latin-1"))
         if isinstance(call, Call):
             try:
                 call = self.door.operations.carry_out(call)
--- a/dykefold/fleet/datagrams.py
+++ b/dykefold/fleet/datagrams.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from .words import WORD_BYTES, WORD_MOST
+from .words import WORD_BYTES, is_word
 
 MOST = 256  # bytes of a datagram between sidecars (PROTOCOL)
 MARK = 0xD7  # the kind byte: first of each datagram of the view
@@ -146,7 +146,7 @@
     if zlib.crc32(data[CHECKED_FROM:]) != check or kind not in Kind._value2member_map_:
         return None
     own = int.from_bytes(data[HEAD.size : HEAD_BYTES], "little")
-    if own > WORD_MOST or own & 7 > 5:
+    if not is_word(own):
         return None
     if kind in CARRIES_SUMS:
         return _read_sums(data, Kind(kind), roster, own, nonce)
@@ -156,7 +156,7 @@
         if at + ENTRY_BYTES > len(data):
             return None
         said = int.from_bytes(data[at + 2 : at + ENTRY_BYTES], "little")
-        if said > WORD_MOST or said & 7 > 5:
+        if not is_word(said):
             return None
         entries.append((int.from_bytes(data[at : at + 2], "little"), said))
         at += ENTRY_BYTES
--- /dev/null
+++ b/dykefold/fleet/edge.py
@@ -0,0 +1,200 @@
+"""Carries a view out: its datagrams beside the module's, its times, its log lines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
+
+from ..control.calls import Action, Call, Reply
+from ..net.peers import Address, Peers
+from ..system import SYSTEM, System
+from .datagrams import is_ours
+from .pace import SECOND, Bucket, Pace
+from .view import Change, View
+from .words import State, incarnation_of, state_of, zone_of
+
+log = logging.getLogger("dykefold.fleet")
+
+LINES_PER_S = 5.0  # of the log, on changes; as many at once
+NOTED = 64  # latest changes that operators can ask for
+TELL_S = 0.5  # between two words to the module on who is there
+
+
+class Node(Protocol):
+    """The process that the view is of."""
+
+    draining: bool  # it ends
+    handing: bool  # a newer process takes clients in its place
+
+
+class Fleet:
+    """A process's part in the fleet's view, from its first datagram to its end."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        node: Node,
+        peers: Peers,
+        roster: Sequence[Address],
+        me: int,
+        zone: int,
+        price: float,
+        seed: int,
+        system: System = SYSTEM,
+    ) -> None:
+        """Take part.
+
+        Args:
+            peers: open already; what it hears goes through here from now on.
+            roster: addresses of all members by number.
+            price: of a datagram, as the settings state it.
+        """
+        self.loop, self.node, self.peers, self.system = loop, node, peers, system
+        chance = random.Random(seed)
+        now_ns = system.monotonic_ns()
+        wall_ms = system.time_ns() // 1_000_000
+        self.view = View(roster, me, zone, wall_ms, Pace.by_price(price), chance, now_ns)
+        self.to_module = peers.heard
+        peers.heard = self.hear
+        self.latest: deque[Change] = deque(maxlen=NOTED)
+        self.lines = Bucket(LINES_PER_S, LINES_PER_S, now_ns)
+        self.unsaid = 0
+        self.told: Callable[[], None] = lambda: None  # the module's side hears that somebody came or went
+        self.telling: asyncio.TimerHandle | None = None
+        self.closed = False
+        self.timer = loop.call_later(0.0, self._tick)
+
+    def hear(self, sender: int, data: bytes) -> None:
+        """A datagram came from a member: the view's, or the module's own."""
+        now_ns = self.system.monotonic_ns()
+        if is_ours(data):
+            self.view.hear(now_ns, sender, data)
+            self._carry_out()
+        else:
+            self.view.heard_older(now_ns, sender)
+            self.to_module(sender, data)
+
+    def _tick(self) -> None:
+        if self.closed:
+            return
+        now_ns = self.system.monotonic_ns()
+        if self.node.handing:
+            # Two processes at one address would each hear half of what is said to the member.
+            log.info("a newer process keeps the view from here on")
+            self.closed = True
+            if self.peers.transport is not None:
+                self.peers.transport.close()
+            return
+        if self.node.draining and self.view.state is State.ALIVE:
+            self.view.leave(now_ns, last=False)
+        due_ns = self.view.tick(now_ns)
+        self._carry_out()
+        self.timer = self.loop.call_later((due_ns - now_ns) / SECOND, self._tick)
+
+    def renumber(self, roster: Sequence[Address], me: int) -> None:
+        """The configuration has other addresses or numbers now."""
+        self.view.renumber(self.system.monotonic_ns(), roster, me)
+        self._carry_out()
+
+    def close(self) -> None:
+        """The process ends, and says so."""
+        self.timer.cancel()
+        if self.telling is not None:
+            self.telling.cancel()
+        if not self.closed:
+            self.closed = True
+            self.view.leave(self.system.monotonic_ns(), last=True)
+            self._carry_out()
+
+    def _carry_out(self) -> None:
+        view = self.view
+        for peer, data in view.out:
+            self.peers.tell(data, peer)
+        view.out.clear()
+        if view.changes:
+            for change in view.changes:
+                self._note(change)
+            view.changes.clear()
+            if self.telling is None and not self.closed:
+                self.telling = self.loop.call_later(TELL_S, self._tell)
+
+    def _tell(self) -> None:
+        self.telling = None
+        self.told()
+
+    def _note(self, change: Change) -> None:
+        self.latest.append(change)
+        if not self.lines.take(change.at_ns):
+            self.unsaid += 1
+            return
+        more = f" ({self.unsaid} changes before it not said)" if self.unsaid else ""
+        self.unsaid = 0
+        log.info("%s%s", described(change), more)
+
+    def in_brief(self) -> dict[str, Any]:
+        """Who is live, as bits of a number in hexadecimal by member, and what the words on all sum up to."""
+        view, now_ns = self.view, self.system.monotonic_ns()
+        bits = sum(1 << number for number in view.live(now_ns))
+        words = f"{view.table.sum(0, len(view.table)):016x}"
+        return {"member": view.me, "live": f"{bits:x}", "words": words, "counts": dict(view.counts)}
+
+    def in_full(self) -> dict[str, Any]:
+        """The view for people."""
+        view, now_ns = self.view, self.system.monotonic_ns()
+        live = set(view.live(now_ns))
+        members = []
+        for number, said in enumerate(view.table.words):
+            host, port = view.addresses[number]
+            heard_ns = view.last.get(number)
+            members.append(
+                {
+                    "member": number,
+                    "address": f"{host}:{port}",
+                    "zone": zone_of(said),
+                    "state": state_of(said).name.lower(),
+                    "live": number in live,
+                    "incarnation": incarnation_of(said),
+                    "heard_s": None if heard_ns is None else round((now_ns - heard_ns) / SECOND, 3),
+                }
+            )
+        return {
+            "member": view.me,
+            "live": len(live),
+            "steady": view.steady(now_ns),
+            "alone": view.alone,
+            "doubt": view.health.doubt,
+            "words": f"{view.table.sum(0, len(view.table)):016x}",
+            "counts": dict(view.counts),
+            "members": members,
+            "changes": [
+                {"s_ago": round((now_ns - change.at_ns) / SECOND, 3), "what": described(change)}
+                for change in self.latest
+            ],
+        }
+
+
+class Teller:
+    """Answers those who ask for the view."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+
+    def carry_out(self, call: Call) -> Reply:
+        """The view, as JSON."""
+        fleet = self.fleet
+        if fleet.closed:
+            return Reply(503, "a newer process of this member keeps the view")
+        return Reply(200, json.dumps(fleet.in_brief() if call.action is Action.BRIEF else fleet.in_full()))
+
+
+def described(change: Change) -> str:
+    """A change of state in words."""
+    return (
+        f"member {change.member} is {change.after.name.lower()}, was {change.before.name.lower()}: "
+        f"{change.cause} (incarnation {change.incarnation})"
+    )
--- a/dykefold/fleet/view.py
+++ b/dykefold/fleet/view.py
@@ -73,6 +73,7 @@
         self,
         roster: Sequence[Address],
         me: int,
+        zone: int | None,
         incarnation: int,
         pace: Pace,
         chance: random.Random,
@@ -83,10 +84,11 @@
         Args:
             roster: the addresses of all members, in the order of their numbers.
             me: the own number.
+            zone: the own one's number.
             incarnation: of this start, milliseconds since 1970; raised when others know a greater one.
             now_ns: on the clock that all later times are of, which never goes back.
         """
-        self.pace, self.chance = pace, chance
+        self.pace, self.chance, self.zone = pace, chance, zone
         self.state = State.ALIVE
         self.incarnation = min(max(incarnation, 1), INCARNATION_MOST)
         self.out: list[tuple[int, bytes]] = []
@@ -106,7 +108,7 @@
         self.me = me
         self.roster = datagrams.roster_of(roster)
         self.table = Table(len(roster))
-        self.table.merge(me, word(self.incarnation, self.state))
+        self.table.merge(me, self.own)
         self.news: News[int] = News()
         self.news.add(me)
         self.turns = Turns(me, self.chance)
@@ -137,7 +139,7 @@
 
     @property
     def own(self) -> int:
-        return word(self.incarnation, self.state)
+        return word(self.incarnation, self.state, self.zone)
 
     @property
     def alone(self) -> bool:
--- a/dykefold/fleet/words.py
+++ b/dykefold/fleet/words.py
@@ -1,4 +1,4 @@
-"""What is said of a member: its state at an incarnation, as one number. No I/O.
+"""What is said of a member: its incarnation, state and zone, as one number. No I/O.
 
 Two words on the same member merge to the greater one. So whatever the order, however often and by whomever
 words are told, all who have heard the same ones hold the same view: a join-semilattice, and a total order.
@@ -24,9 +24,12 @@
 
 STATES = tuple(State)
 STATE_BITS = 3
+ZONE_BITS = 5
+ZONE_MOST = (1 << ZONE_BITS) - 1  # a word has a zone's number plus one; 0 is not told, this is any beyond
+INCARNATION_AT = STATE_BITS + ZONE_BITS
 INCARNATION_MOST = (1 << 48) - 1  # milliseconds since 1970 reach it in the year 10889
 WORD_BYTES = 7
-WORD_MOST = INCARNATION_MOST << STATE_BITS | State.LEFT
+WORD_MOST = (1 << 8 * WORD_BYTES) - 1
 
 # What a member may conclude of another by itself, and why. All else is told by the member it is about, or by
 # one that concluded it; and whatever is told stands only against lesser words.
@@ -40,16 +43,28 @@
 ASKED = frozenset((State.UNKNOWN, State.ALIVE, State.SUSPECT))  # is asked whether it lives
 
 
-def word(incarnation: int, state: State) -> int:
-    return incarnation << STATE_BITS | state
+def word(incarnation: int, state: State, zone: int | None = None) -> int:
+    """Of a member in a zone, by its number; None where that is not known."""
+    told = 0 if zone is None else min(zone + 1, ZONE_MOST)
+    return incarnation << INCARNATION_AT | state << ZONE_BITS | told
+
+
+def is_word(said: int) -> bool:
+    return said <= WORD_MOST and said >> ZONE_BITS & 7 < len(STATES)
 
 
 def state_of(said: int) -> State:
-    return STATES[said & (1 << STATE_BITS) - 1]
+    return STATES[said >> ZONE_BITS & 7]
+
+
+def zone_of(said: int) -> int | None:
+    """The member's zone; None where it is not told, or has no number of its own."""
+    told = said & ZONE_MOST
+    return told - 1 if 0 < told < ZONE_MOST else None
 
 
 def incarnation_of(said: int) -> int:
-    return said >> STATE_BITS
+    return said >> INCARNATION_AT
 
 
 def conclude(said: int, after: State) -> int:
@@ -57,7 +72,7 @@
     before = state_of(said)
     if (before, after) not in CONCLUDES:
         raise ValueError(f"nobody concludes {after.name} of a member that is {before.name}")
-    return word(incarnation_of(said), after)
+    return word(incarnation_of(said), after) | said & ZONE_MOST
 
 
 BLOCK = 32  # members whose words are summed up together
--- a/dykefold/lab/fleet/member.py
+++ b/dykefold/lab/fleet/member.py
@@ -81,18 +81,21 @@
 class Member:
     """One sidecar, whichever of its processes lives."""
 
-    def __init__(self, number: int, folder: Path, data: dict[str, Any]) -> None:
+    def __init__(self, number: int, folder: Path, data: dict[str, Any], view: str | None = None) -> None:
         """Prepare.
 
         Args:
             folder: of its own, which exists.
             data: its configuration; `listen` is kept from the first process on.
+            view: address at which it tells its view of the fleet; None for one that keeps none.
         """
         self.number = number
+        self.view = view
         self.folder = folder
         self.data = data
         self.processes: list[Process] = []
         self.spare: Process | None = None  # ready to become the next one
+        self.clock_s = 0.0  # how far the clock on the wall is off for those that are prepared from now on
         self.peak = Peak()  # of all its processes together
         (folder / "tmp").mkdir(exist_ok=True)
 
@@ -108,7 +111,12 @@
         """Have the next process ready to start at once."""
         if self.spare is None:
             environment = {"GW_CONFIG": str(self._path), "TMPDIR": str(self.folder / "tmp")}
-            self.spare = Process(environment, self.data["limits"]["sockets"] + DESCRIPTORS_APART)
+            if self.view is not None:
+                service = self.folder / "service.toml"
+                service.write_text(f'[fleet]\nview = true\nlisten = "{self.view}"\n')
+                environment["DYKEFOLD_SERVICE"] = str(service)
+            descriptors = self.data["limits"]["sockets"] + DESCRIPTORS_APART
+            self.spare = Process(environment, descriptors, self.clock_s)
             await self.spare.prepare()
 
     async def start(self, **more: Any) -> Process:
--- a/dykefold/lab/fleet/network.py
+++ b/dykefold/lab/fleet/network.py
@@ -78,6 +78,7 @@
         self.numbers: dict[Address, int] = {}
         self.everyone = self._socket("127.0.0.1")
         self.sent: Counter[int] = Counter()  # by sender
+        self.latest: dict[int, bytes] = {}  # by sender
         self.delivered = 0
         self.bytes = 0
         self.loop.add_reader(self.everyone.fileno(), self._came, self.everyone, None)
@@ -124,6 +125,7 @@
             if sender is None:
                 continue
             self.sent[sender] += 1
+            self.latest[sender] = data
             receivers = range(len(self.fronts)) if receiver is None else (receiver,)
             for one in receivers:
                 if one != sender:
@@ -148,6 +150,20 @@
             else:
                 self._deliver(sender, receiver, data)
 
+    async def flood(self, sender: int, receivers: list[int], rate: float) -> None:
+        """Send noise, and datagrams that came from a member already, under its address until cancelled."""
+        turn_s, owed = 0.005, 0.0
+        while True:
+            await asyncio.sleep(turn_s)
+            owed += rate * turn_s
+            while owed >= 1.0:
+                owed -= 1.0
+                data = self.latest.get(sender, b"")
+                if self.chance.random() < 0.5 or not data:
+                    data = self.chance.bytes(int(self.chance.integers(1, 257)))
+                for receiver in receivers:
+                    self._deliver(sender, receiver, data)
+
     def _deliver(self, sender: int, receiver: int, data: bytes) -> None:
         with contextlib.suppress(OSError):  # nobody listens there now, or its queue is full
             self.fronts[sender].sendto(data, self.behind[receiver])
--- a/dykefold/lab/fleet/process.py
+++ b/dykefold/lab/fleet/process.py
@@ -18,6 +18,11 @@
 START_S = 30.0  # until it listens: 200 of them start on few cores
 DESCRIPTORS_APART = 64  # that a process may have beyond what it was told: interpreter, loop, files it reads
 NICER = 5  # than the rig itself
+# The program with another clock on the wall, which it looks up when it is imported.
+SHIFTED = (
+    "import runpy, time; now = time.time_ns; time.time_ns = lambda: now() + {shift_ns}; "
+    'runpy.run_module("dykefold", run_name="__main__")'
+)
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 Address = tuple[str, int]
@@ -42,13 +47,17 @@
 class Process:
     """One life of the program."""
 
-    def __init__(self, environment: dict[str, str], descriptors: int | None = None) -> None:
+    def __init__(
+        self, environment: dict[str, str], descriptors: int | None = None, clock_s: float = 0.0
+    ) -> None:
         """Prepare.
 
         Args:
             environment: beside the caller's own, with `GW_CONFIG`.
             descriptors: that the system lets it have; None for the caller's limit.
+            clock_s: how far its clock on the wall is off.
         """
+        self.clock_s = clock_s
         self.environment = environment
         self.descriptors = descriptors
         self.lines: deque[str] = deque(maxlen=LINES_KEPT)
@@ -77,8 +86,11 @@
         """
         environment = {name: value for name, value in os.environ.items() if not name.startswith("GW_")}
         # If the rig dies, the shell reads an end and goes. Those that load are nicer than who judges them.
+        program = (
+            f"-c '{SHIFTED.format(shift_ns=int(self.clock_s * 1e9))}'" if self.clock_s else "-m dykefold"
+        )
         limit = f"ulimit -n {self.descriptors} && " if self.descriptors is not None else ""
-        line = f'read go && {limit}exec nice -n {NICER} "$0" -m dykefold </dev/null'
+        line = f'read go && {limit}exec nice -n {NICER} "$0" {program} </dev/null'
         self._child = await asyncio.create_subprocess_exec(
             "/bin/sh",
             "-c",
--- a/dykefold/lab/fleet/run.py
+++ b/dykefold/lab/fleet/run.py
@@ -22,8 +22,11 @@
 from .process import Process, StartError
 from .registry import Caller, Registry
 from .scenario import CLASSES, FaultTable, FleetScenario
+from .views import Look, Watch
 
 LISTEN_PORT = 7070
+VIEW_PORT = 7950  # where a member tells its view
+CONTROL_PORT = 7960  # its door, where scenarios have upgrades
 READY_S = 30.0  # clients come when all members are ready, or after that (DEPLOY)
 DEATH_S = 0.1  # in which a killed process's clients hear of it
 QUIET_S = 0.3  # after the last request
@@ -43,6 +46,8 @@
         handshakes: connections that members opened to servers.
         served: requests by the second of the load in which they were asked, and of these served in time.
         datagrams: that members sent; `datagram_bytes` what was delivered.
+        looks: at the members' views, if they keep any.
+        settled_s: from the end of the last fault until all views were right and stayed so.
         lag_s: the latest that the rig itself was while it loaded.
     """
 
@@ -57,6 +62,8 @@
     datagram_bytes: int = 0
     lag_s: float = 0.0
     faults: list[str] = field(default_factory=list)  # tracebacks in members' logs
+    looks: list[Look] = field(default_factory=list)
+    settled_s: float | None = None
 
     @property
     def good(self) -> bool:
@@ -88,6 +95,7 @@
             "handshakes": self.handshakes,
             "datagrams": self.datagrams,
             "datagram_bytes": self.datagram_bytes,
+            "view_settled_s": None if self.settled_s is None else round(self.settled_s, 2),
             "asked_by_second": self.asked,
             "served_by_second": self.served,
             "tracebacks": self.faults,
@@ -151,6 +159,16 @@
         self.first_s = self.loop.time()
         self.ready_s: list[float | None] = [None] * fleet.members
         self.lag_s = 0.0
+        self.faults_end_s = 0.0  # since the load began
+        self.watch = Watch([(host, VIEW_PORT) for host in hosts], self.up) if fleet.view else None
+
+    def up(self) -> frozenset[int]:
+        """Members of whom a process listens."""
+        return frozenset(
+            member.number
+            for member in self.members
+            if any(process.address is not None for process in member.living)
+        )
 
     def _make_servers(self, block: int) -> list[list[LinkedServer]]:
         fleet = self.scenario.fleet
@@ -193,7 +211,9 @@
             "known": self.registry.known(zone),
             "settings": settings(CLASSES, fleet.zones, zone, number, fleet.members, peers=True),
         }
-        return Member(number, own, data)
+        if any(fault.kind == "upgrade" for fault in self.scenario.faults):
+            data["control"] = f"{host}:{CONTROL_PORT}"
+        return Member(number, own, data, f"{host}:{VIEW_PORT}" if fleet.view else None)
 
     # Members
 
@@ -231,6 +251,20 @@
         await asyncio.sleep(down_s)
         await self.start(number)
 
+    async def _upgrade(self, number: int, pause_s: float) -> None:
+        """A newer process in place of the present one, which ends when that one takes clients."""
+        old = self.members[number].living
+        await self.start(number)
+        for process in old:
+            process.terminate()
+            try:
+                async with asyncio.timeout(TERM_S):
+                    await process.ended()
+            except TimeoutError:
+                process.kill()
+                await process.ended()
+        await asyncio.sleep(pause_s)
+
     async def _stop(self, number: int, span_s: float) -> None:
         now_s = self.loop.time()
         for process in self.members[number].living:
@@ -250,26 +284,52 @@
     async def fault(self, fault: FaultTable) -> None:
         """Play one fault from its time to its end."""
         await asyncio.sleep(fault.at_s)
-        if fault.kind in ("kill", "stop", "term"):
+        if fault.kind in ("kill", "stop", "term", "upgrade"):
             await self._of_members(fault)
             return
+        if fault.kind == "flood":
+            await self._flood(fault)
+            return
         begin, end = self._act(fault)
         begin()
         try:
             await asyncio.sleep(fault.for_s)
         finally:
             end()
+            self.faults_end_s = max(self.faults_end_s, fault.at_s + fault.for_s)
+
+    async def _flood(self, fault: FaultTable) -> None:
+        to = self.scenario.members_of(fault.to)
+        floods = [
+            self.loop.create_task(self.datagrams.flood(one, [n for n in to if n != one], fault.rate))
+            for one in self.scenario.members_of(fault.of)
+        ]
+        await asyncio.sleep(fault.for_s)
+        for flood in floods:
+            flood.cancel()
+        self.faults_end_s = max(self.faults_end_s, fault.at_s + fault.for_s)
 
     async def _of_members(self, fault: FaultTable) -> None:
-        act = {"kill": self._kill, "stop": self._stop, "term": self._term}[fault.kind]
+        act = {"kill": self._kill, "stop": self._stop, "term": self._term, "upgrade": self._upgrade}[
+            fault.kind
+        ]
         members = self.scenario.members_of(fault.of)
         count = max(round(fault.share * len(members)), 1)
         chance = generator(self.scenario.seed, "members", f"{fault.kind}{fault.at_s}")
         chosen = [int(one) for one in chance.permutation(members)[:count]]
+        if fault.clock_s:
+            for number in chosen:
+                member = self.members[number]
+                member.clock_s = fault.clock_s
+                if member.spare is not None:
+                    await member.spare.close()
+                    member.spare = None
+        began_s = self.loop.time()
         for _ in range(fault.times):
             for step in range(fault.steps):
                 part = chosen[step :: fault.steps]
                 await asyncio.gather(*(act(number, fault.for_s) for number in part))
+            self.faults_end_s = max(self.faults_end_s, self.loop.time() - began_s + fault.at_s)
             if fault.times > 1:
                 await asyncio.sleep(fault.for_s)
 
@@ -333,10 +393,11 @@
         self.first_s = self.loop.time()
         starts = [self.loop.create_task(self.start(number)) for number in range(len(self.members))]
         await asyncio.wait(starts, timeout=READY_S)
-        if any(fault.kind in ("kill", "term") for fault in self.scenario.faults):
+        if any(fault.kind in ("kill", "term", "upgrade") for fault in self.scenario.faults):
             for member in self.members:
                 await member.prepare()
         began_s = self.loop.time()
+        views = self.loop.create_task(self.watch.watch()) if self.watch is not None else None
         lag = self.loop.create_task(self._watch_lag())
         loads = [self.loop.create_task(desk.play()) for desk in self.desks]
         faults = [self.loop.create_task(self.fault(fault)) for fault in self.scenario.faults]
@@ -344,6 +405,8 @@
         for load in loads:
             load.cancel()
         await asyncio.gather(*faults)
+        if views is not None:
+            views.cancel()
         for desk in self.desks:
             await desk.rest()
         await asyncio.sleep(QUIET_S)
@@ -368,6 +431,10 @@
                 served[int(one.sent_s - began_s)] += 1
         first = int(self.first_s)
         calls = self.registry.calls
+        settled_s = None
+        if self.watch is not None:
+            self.watch.begin_at(began_s)
+            settled_s = self.watch.settled_s(self.faults_end_s)
         links = [link for zone in self.servers for server in zone for link in server.links]
         return Seen(
             verdict,
@@ -387,6 +454,8 @@
                 for line in process.lines
                 if "Traceback" in line
             ],
+            self.watch.looks if self.watch is not None else [],
+            settled_s,
         )
 
     async def close(self) -> None:
--- a/dykefold/lab/fleet/scenario.py
+++ b/dykefold/lab/fleet/scenario.py
@@ -39,6 +39,7 @@
     rate: Above = 10.0  # requests a second to each member
     memory_mb: Positive = 80  # that a member is told
     sockets: Positive = 384
+    view: bool = False  # whether members keep a view of the fleet (docs/operators/view.md)
 
 
 class ListTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -52,7 +53,20 @@
 class FaultTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """`[[faults]]`: what breaks, from when, for how long, of whom."""
 
-    kind: Literal["cut", "loss", "late", "double", "spoil", "kill", "stop", "term", "list", "servers"]
+    kind: Literal[
+        "cut",
+        "loss",
+        "late",
+        "double",
+        "spoil",
+        "flood",
+        "kill",
+        "stop",
+        "term",
+        "upgrade",
+        "list",
+        "servers",
+    ]
     at_s: NotBelow
     for_s: Above
     of: str = "all"  # cut: the one side; servers: whose zone
@@ -61,7 +75,9 @@
     share: Share = 1.0  # of the datagrams; of the members, for kill, stop and term
     late_s: NotBelow = 0.1  # late: on average
     times: Positive = 1  # stop, kill, term: so often, each after as long again
-    steps: Positive = 1  # kill, term: in so many parts, one after the other
+    steps: Positive = 1  # kill, term, upgrade: in so many parts, one after the other
+    clock_s: float = 0.0  # kill, term: how far the clock on the wall is off for the processes started again
+    rate: Above = 2000.0  # flood: datagrams a second from the one to each of the others
 
 
 class FleetScenario(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/dykefold/operators.py
+++ b/dykefold/operators.py
@@ -15,12 +15,13 @@
 from msgspec import Meta
 
 from .admission.addresses import Caps
+from .fleet.options import Options
 from .net.discovery import split_address
 from .routing.config import read_plan, struct_problems
 from .routing.plan import Plan
 
 PLANNED = ("node", "pools", "routes")
-TABLES = ("admission", "control", *PLANNED)
+TABLES = ("admission", "control", "fleet", *PLANNED)
 
 Positive = Annotated[int, Meta(ge=1)]
 Count = Annotated[int, Meta(ge=0)]
@@ -71,6 +72,13 @@
     folder: str | None = None
 
 
+class FleetTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """`[fleet]`: see docs/operators/view.md."""
+
+    view: bool = False
+    listen: str | None = None
+
+
 class ServiceError(Exception):
     """The file can't be used; `problems` has one line for each thing wrong with it."""
 
@@ -83,6 +91,9 @@
         return [f"{self.path}: {problem}" for problem in self.problems]
 
 
+NO_VIEW = Options()
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """What the file asks for.
@@ -91,12 +102,14 @@
         plan: None where it names no pool.
         control: address of the operators' door; None for none.
         folder: that an older and a newer process share during an upgrade; None for no upgrades.
+        fleet: what it asks of the view.
     """
 
     caps: Caps
     plan: Plan | None
     control: tuple[str, int] | None = None
     folder: str | None = None
+    fleet: Options = NO_VIEW
 
 
 def read_toml(path: str) -> dict[str, Any]:
@@ -123,29 +136,40 @@
         problems += [problem for text in known if (problem := _network_problem(text))]
     control = data.get("control", {})
     problems += struct_problems("control", control, ControlTable)
-    listen = control.get("listen") if isinstance(control, dict) else None
-    if isinstance(listen, str) and (problem := _address_problem(listen)):
-        problems.append(problem)
+    fleet = data.get("fleet", {})
+    problems += struct_problems("fleet", fleet, FleetTable)
+    for name, table in (("control", control), ("fleet", fleet)):
+        listen = table.get("listen") if isinstance(table, dict) else None
+        if isinstance(listen, str) and (problem := _address_problem(name, listen)):
+            problems.append(problem)
     plan = None
     if any(name in data for name in PLANNED):
         plan, more = read_plan(data)
         problems += more
+        if fleet:
+            problems.append("fleet: has no meaning beside pools and routes, which know no peers")
     if problems:
         raise ServiceError(path, problems)
     read = msgspec.convert(control, ControlTable)
+    view = msgspec.convert(fleet, FleetTable)
     return Service(
         msgspec.convert(admission, AdmissionTable).caps(),
         plan,
-        split_address(read.listen, least_port=0) if read.listen else None,
+        _address(read.listen),
         read.folder,
+        Options(view.view, _address(view.listen)),
     )
 
 
-def _address_problem(text: str) -> str | None:
+def _address(text: str | None) -> tuple[str, int] | None:
+    return split_address(text, least_port=0) if text else None
+
+
+def _address_problem(table: str, text: str) -> str | None:
     try:
         split_address(text, least_port=0)
     except ValueError:
-        return f"control.listen: {text!r}: expected an address such as 127.0.0.1:9000"
+        return f"{table}.listen: {text!r}: expected an address such as 127.0.0.1:9000"
     return None
 
 
--- a/dykefold/sim/views.py
+++ b/dykefold/sim/views.py
@@ -27,14 +27,16 @@
         loss: float = 0.0,
         delay_ns: tuple[int, int] = (MS, 40 * MS),
         pace: Pace | None = None,
+        zones: int = 3,
     ) -> None:
         """Make the world; nobody runs yet.
 
         Args:
             loss: part of the datagrams that get lost.
             delay_ns: least and most time that one takes.
+            zones: in which the members stand in turn.
         """
-        self.size, self.loss, self.delay_ns = size, loss, delay_ns
+        self.size, self.loss, self.delay_ns, self.zones = size, loss, delay_ns, zones
         self.pace = pace or Pace()
         self.chance = random.Random(seed)
         self.now_ns = SECOND  # of a clock that runs alike for all
@@ -57,7 +59,7 @@
         """Start a member, again if it has run before."""
         wall_ms = START_MS + self.now_ns // MS + self.clock_off_ms.get(number, 0)
         chance = random.Random(self.chance.getrandbits(64))
-        view = View(self.roster, number, wall_ms, self.pace, chance, self.now_ns)
+        view = View(self.roster, number, number % self.zones, wall_ms, self.pace, chance, self.now_ns)
         self.living[number] = view
         self._wake(view, number, self.now_ns)
         return view
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -240,7 +240,7 @@
 
 
 def test_a_view_of_one_is_alone_and_steady() -> None:
-    view = View([("10.3.0.1", 1)], 0, 5, Pace(), random.Random(1), SECOND)
+    view = View([("10.3.0.1", 1)], 0, 0, 5, Pace(), random.Random(1), SECOND)
     view.tick(SECOND)
     assert view.steady(SECOND)
     assert view.live(SECOND) == [0]
--- a/tests/fleet/test_words.py
+++ b/tests/fleet/test_words.py
@@ -15,7 +15,9 @@
 from dykefold.fleet.pace import SECOND, Bucket
 from dykefold.fleet.words import CONCLUDES, INCARNATION_MOST, State, Table, conclude, state_of, word
 
-words = st.builds(word, st.integers(0, INCARNATION_MOST), st.sampled_from(State))
+words = st.builds(
+    word, st.integers(0, INCARNATION_MOST), st.sampled_from(State), st.none() | st.integers(0, 40)
+)
 numbers = st.integers(0, 99)
 
 
