--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -11,6 +11,7 @@
 import math
 import random
 import struct
+from collections import defaultdict
 from collections.abc import Callable
 from copy import copy
 
@@ -25,8 +26,7 @@
 BACKOFF_USEFUL = 0.25  # class means that must be left after the delay: less is hardly ever enough
 RETRY_SHARE = 0.1  # repeats per first try in the long run: bounds amplification when all fails
 RETRY_RESERVE = 10.0  # ... and saved up for this many seconds of traffic, for a sudden loss of servers
-UNSENT_MOST = 0.45  # of a request's time may pass with nothing sent: then it is refused, while another try
-# elsewhere or later is of use
+UNSENT_MOST = 0.45  # of a request's time may pass unsent: then it is refused, while another try is of use
 RETRY_AFTER = 0.5  # of the time left or to the aim, as advice with a refusal: a new try has the other half
 RETRY_AFTER_LEAST = 0.5  # of it after jitter, lest refused clients come back together
 
@@ -124,9 +124,7 @@
 TRY_MOST = 20  # ... that are remembered, so that another wait is learned within as many
 AGE_SURE = 1.5  # usual latencies before the aim: the answer comes in time
 AGE_LOST = 0.5  # ... and it hardly ever does
-VALUE_LEAST = (
-    0.2  # part of the limit that is open to work that comes too late: where there is room it is done
-)
+VALUE_LEAST = 0.2  # part of the limit that is open to work that comes too late: done where there is room
 
 # Fairness.
 SHARES_EVERY = 0.5  # shortest deadlines between judgements: bursts rise within seconds
@@ -278,7 +276,7 @@
         self.sees_little = True
         self.crowded = True  # there are more sidecars than servers
         self.set_size = 0
-        self.groups: dict[tuple[int, bool], Group] = {}
+        self.groups: defaultdict[tuple[int, bool], Group] = defaultdict(Group)
         self.mean_rel = 1.0
         self.asking: dict[int, list[int]] = {}  # server -> requests that wait for what it holds
         self.stands_for = [1.0, 1.0]  # ready servers near and far for each one sampled
@@ -495,10 +493,9 @@
                 self._choose(req)
 
     def _on_timer(self, event: api.Timer) -> None:
-        now = self.now
         if event.token == self.timer_token:
             self.timer_armed = 0
-        while self.timers and self.timers[0][0] <= now:
+        while self.timers and self.timers[0][0] <= self.now:
             _, kind, ident, attempt = heapq.heappop(self.timers)
             if kind == WATCH:
                 if not self.watching:
@@ -614,21 +611,15 @@
         if not fit:
             fit = [server for server in self.rest if server not in tried and self._may_send(req, server)]
         if len(fit) > 2:
-            weights = [self._weight(server) for server in fit]
+            own, parts = self.settings.zone, self.stands_for
+            weights = [math.exp(self._group(server).lean) * parts[server.zone != own] for server in fit]
             first = self.random.choices(range(len(fit)), weights)[0]
             weights[first] = 0.0
             fit = [fit[first], fit[self.random.choices(range(len(fit)), weights)[0]]]
         return [(server, 0.0) for server in fit]
 
-    def _weight(self, server: Server) -> float:
-        return math.exp(self._group(server).lean) * self.stands_for[server.zone != self.settings.zone]
-
     def _group(self, server: Server) -> Group:
-        key = (server.kind, server.zone != self.settings.zone)
-        group = self.groups.get(key)
-        if group is None:
-            group = self.groups[key] = Group()
-        return group
+        return self.groups[server.kind, server.zone != self.settings.zone]
 
     def _lean(self, server: Server, rel: float) -> None:
         """Lean towards the groups that answer sooner than the mean, as integral control does.
@@ -711,11 +702,10 @@
 
     def _send(self, req: Open, server: Server) -> None:
         now = self.now
-        left = req.deadline - now
         number = len(req.attempts)
         req.attempts.append([server, now, OUT])
         req.charged = False
-        overdue = self._overdue_after(server, req.work, left)
+        overdue = self._overdue_after(server, req.work, req.deadline - now)
         server.out[(req.id, number)] = Flight(now, req.work)
         if server.ejected:
             server.trial_out = True
@@ -766,11 +756,7 @@
 
     def _any_left(self, req: Open) -> bool:
         """Whether the rules allow any further attempt at all, wherever it went."""
-        if len(req.attempts) >= req.most:
-            return False
-        if req.spec.effect is not Effect.UNSAFE:
-            return True
-        return req.never_ran()
+        return len(req.attempts) < req.most and (req.spec.effect is not Effect.UNSAFE or req.never_ran())
 
     def _repeat(self, req: Open) -> None:
         server = self._pick(req)
@@ -1235,10 +1221,7 @@
     def _unit(self, work: Work, part: float = PRESSURE_AIM) -> float:
         """The latency of a class at which pressure is 1."""
         aim = work.spec.objective_ns
-        usual = PRESSURE_USUAL * work.usual
-        if usual <= part * aim:
-            return part * aim
-        return min(usual, PRESSURE_AIM_MOST * aim)
+        return max(part * aim, min(PRESSURE_USUAL * work.usual, PRESSURE_AIM_MOST * aim))
 
     def _learn_usual(self, work: Work, took: int) -> None:
         known = work.seen
--- a/dykefold/sim/views.py
+++ b/dykefold/sim/views.py
@@ -64,6 +64,21 @@
         self._wake(view, number, self.now_ns)
         return view
 
+    def start_settled(self) -> None:
+        """Start all members, each with a view as if all had been there for long."""
+        for number in range(self.size):
+            self.start(number)
+        first = self.living[0].table
+        for number, view in self.living.items():
+            first.merge(number, view.own)
+        for view in self.living.values():
+            table = view.table
+            table.words, table.sums, table.counts = first.words[:], first.sums[:], list(first.counts)
+            view.news.told.clear()
+            view.settled = True
+            view.heard_ns = self.now_ns
+        self.sent = self.sent_bytes = 0
+
     def kill(self, number: int) -> None:
         del self.living[number]
 
