Module: live sidecars, far servers by rank among them, and others' findings as priors

Need: the module reckons with fleet-size, covers far servers by chance, and each sidecar pays for what others found. One event tells it of live members, its place for each server among those of its zone (rendezvous hashing), and servers that three others (two in small fleets) gave up on, or had answers of; a hint alone ejects nothing: it counts as the one strike before the last, and a trial comes at once where others were answered. Who hears nobody counts on all.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import sys
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -109,7 +110,9 @@
     from .fleet.edge import Fleet  # off by default, and then it costs no memory
 
     me, zone = settings.index, settings.zone
-    return Fleet(loop, engine, peers, config.peers, me, zone, settings.price_peer, config.seed)
+    fleet = Fleet(loop, engine, peers, config.peers, me, zone, settings.price_peer, config.seed)
+    fleet.serve(engine.pool)
+    return fleet
 
 
 def _show_view(loop: asyncio.AbstractEventLoop, fleet: Fleet, address: Address) -> Door:
@@ -208,8 +211,9 @@
     if len(sys.argv) == 3 and sys.argv[1] == "check":
         return check(sys.argv[2])
     serves = len(sys.argv) == 3 and sys.argv[1] == "serve"
-    if len(sys.argv) > 1 and not serves:
-        print("usage: python -m dykefold [check FILE | serve FILE]", file=sys.stderr)
+    views = sys.argv[1:] == ["view"]  # the fleet's view without an operator's file
+    if len(sys.argv) > 1 and not serves and not views:
+        print("usage: python -m dykefold [view | check FILE | serve FILE]", file=sys.stderr)
         return 2
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     # Guards the start and the end, when no loop listens: the signal's default would end the process.
@@ -220,6 +224,8 @@
             serve_file(sys.argv[2])
             return 0
         config = read_config(path, service)
+        if views:
+            config.fleet = replace(config.fleet, view=True)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(run(config, path, service))
             signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/dykefold/fleet/edge.py
+++ b/dykefold/fleet/edge.py
@@ -10,9 +10,12 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
+from .. import interface as api
 from ..control.calls import Action, Call, Reply
+from ..net.discovery import Discovery, Names
 from ..net.peers import Address, Peers
 from ..system import SYSTEM, System
+from . import priors
 from .datagrams import is_ours
 from .pace import SECOND, Bucket, Pace
 from .view import Change, View
@@ -25,6 +28,21 @@
 TELL_S = 0.5  # between two words to the module on who is there
 
 
+class Pool(Protocol):
+    """The pool whose module uses the view."""
+
+    names: Names
+    version: int
+    discovery: Discovery | None
+    hinted: Callable[[int, bool], None]
+
+    def post(self, event: api.Event) -> None: ...
+
+    def named(self) -> dict[str, tuple[int, int]]:
+        """The module's servers: number and zone by name."""
+        ...
+
+
 class Node(Protocol):
     """The process that the view is of."""
 
@@ -64,11 +82,23 @@
         self.latest: deque[Change] = deque(maxlen=NOTED)
         self.lines = Bucket(LINES_PER_S, LINES_PER_S, now_ns)
         self.unsaid = 0
-        self.told: Callable[[], None] = lambda: None  # the module's side hears that somebody came or went
+        self.pool: Pool | None = None  # whose module hears of the fleet
+        self.known = (0, 0)  # of its servers, so that new ones are seen
         self.telling: asyncio.TimerHandle | None = None
         self.closed = False
         self.timer = loop.call_later(0.0, self._tick)
 
+    def serve(self, pool: Pool) -> None:
+        """Tell a pool's module what the view says from now on, and the fleet what the module finds."""
+        self.pool = pool
+        pool.hinted = self._found
+
+    def _found(self, server: int, answers: bool) -> None:
+        assert self.pool is not None
+        for name, number in self.pool.names.servers.items():
+            if number == server:
+                priors.say_found(self.view, self.system.monotonic_ns(), name, answers)
+
     def hear(self, sender: int, data: bytes) -> None:
         """A datagram came from a member: the view's, or the module's own."""
         now_ns = self.system.monotonic_ns()
@@ -92,6 +122,14 @@
             return
         if self.node.draining and self.view.state is State.ALIVE:
             self.view.leave(now_ns, last=False)
+        if self.pool is not None:
+            names = self.pool.names
+            known = (names.next_server, self.pool.version)
+            if known != self.known:
+                self.known = known
+                self._tell_soon()
+                if self.pool.discovery is not None:
+                    priors.say_list(self.view, now_ns, self.pool.discovery.host, self.pool.version)
         due_ns = self.view.tick(now_ns)
         self._carry_out()
         self.timer = self.loop.call_later((due_ns - now_ns) / SECOND, self._tick)
@@ -120,12 +158,22 @@
             for change in view.changes:
                 self._note(change)
             view.changes.clear()
-            if self.telling is None and not self.closed:
-                self.telling = self.loop.call_later(TELL_S, self._tell)
+            self._tell_soon()
+        if view.learned:
+            view.learned = False
+            self._tell_soon()
+
+    def _tell_soon(self) -> None:
+        if self.telling is None and self.pool is not None and not self.closed:
+            self.telling = self.loop.call_later(TELL_S, self._tell)
 
     def _tell(self) -> None:
         self.telling = None
-        self.told()
+        now_ns = self.system.monotonic_ns()
+        if self.pool is not None and self.view.steady(now_ns):
+            self.pool.post(priors.event(self.view, now_ns, self.pool.named()))
+        else:
+            self._tell_soon()  # what is known of the fleet just now would be taken for all of it
 
     def _note(self, change: Change) -> None:
         self.latest.append(change)
@@ -143,6 +191,13 @@
         words = f"{view.table.sum(0, len(view.table)):016x}"
         return {"member": view.me, "live": f"{bits:x}", "words": words, "counts": dict(view.counts)}
 
+    def _lists(self, now_ns: int) -> dict[str, int | None]:
+        """The version of the own list of servers, and the newest that anybody tells."""
+        if self.pool is None or self.pool.discovery is None:
+            return {"own": None, "newest": None}
+        newest = priors.newest_list(self.view, now_ns, self.pool.discovery.host)
+        return {"own": self.pool.version, "newest": newest}
+
     def in_full(self) -> dict[str, Any]:
         """The view for people."""
         view, now_ns = self.view, self.system.monotonic_ns()
@@ -170,6 +225,7 @@
             "doubt": view.health.doubt,
             "words": f"{view.table.sum(0, len(view.table)):016x}",
             "counts": dict(view.counts),
+            "list": self._lists(now_ns),
             "members": members,
             "changes": [
                 {"s_ago": round((now_ns - change.at_ns) / SECOND, 3), "what": described(change)}
--- a/dykefold/fleet/knowledge.py
+++ b/dykefold/fleet/knowledge.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
@@ -24,8 +24,7 @@
 class Topic(IntEnum):
     """What a record is about."""
 
-    DEMAND = 1  # subject: zone and class (`demand_subject`); value: sixteenths of a first try a second
-    LIST = 2  # value: the newest version of the list of servers seen, modulo 2^32
+    LIST = 2  # subject: a discovery; value: the newest version of its list seen, modulo 2^32
     FAILS = 3  # subject: a server that its origin has ejected, or found silent again
     ANSWERS = 4  # subject: a server that answered its origin after that
 
@@ -39,20 +38,14 @@
 
 
 BOUNDS = {
-    Topic.DEMAND: Bound(30 * SECOND, 8),
     Topic.LIST: Bound(60 * SECOND, 1),
     Topic.FAILS: Bound(10 * SECOND, 8),
     Topic.ANSWERS: Bound(10 * SECOND, 8),
 }
-DEMAND_UNIT = 16  # steps of a first try a second
 
 Key = tuple[int, int, int]  # topic, origin, subject
 
 
-def demand_subject(zone: int, cls: int) -> int:
-    return (zone & 0xFFFF) << 16 | cls & 0xFFFF
-
-
 def _order(record: Record) -> tuple[int, int]:
     return record.incarnation, record.sequence
 
@@ -134,17 +127,8 @@
     def _aged(now_ns: int, record: Record, said_ns: int) -> Record:
         return replace(record, age_ns=max(now_ns - said_ns, 0))
 
-    def origins(self, now_ns: int, topic: Topic, subject: int, live: Iterable[int]) -> set[int]:
-        """Which of these members say so now."""
-        found = set()
-        for origin in live:
-            known = self.records.get((topic, origin, subject))
-            if known is not None and now_ns - known[1] < BOUNDS[topic].lasts_ns:
-                found.add(origin)
-        return found
-
-    def about(self, now_ns: int, topic: Topic) -> Iterator[tuple[int, int, int, int]]:
-        """Origin, subject, value and time of each record of a topic that still says something."""
-        for (kind, origin, subject), (record, said_ns) in self.records.items():
+    def about(self, now_ns: int, topic: Topic) -> Iterator[tuple[Record, int]]:
+        """Each record of a topic that still says something, and when its origin said it."""
+        for (kind, _, _), (record, said_ns) in self.records.items():
             if kind == topic and now_ns - said_ns < BOUNDS[topic].lasts_ns:
-                yield origin, subject, record.value, said_ns
+                yield record, said_ns
--- a/dykefold/fleet/view.py
+++ b/dykefold/fleet/view.py
@@ -93,6 +93,7 @@
         self.incarnation = min(max(incarnation, 1), INCARNATION_MOST)
         self.out: list[tuple[int, bytes]] = []
         self.changes: list[Change] = []
+        self.learned = False  # a record came that was new here; whoever drives it takes that back
         self.counts: Counter[str] = Counter()
         self.health = Health()
         self.sending = Bucket(SENT_PER_S, 2 * SENT_PER_S, now_ns)
@@ -454,7 +455,7 @@
         if trusted:
             for record in gram.records:
                 if record.origin != self.me and record.origin < size:
-                    self.knowledge.merge(now_ns, record)
+                    self.learned |= self.knowledge.merge(now_ns, record)
 
     def _answer(self, now_ns: int, sender: int, gram: Datagram) -> None:
         kind, same = gram.kind, gram.roster == self.roster
--- a/dykefold/interface.py
+++ b/dykefold/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Set
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -195,6 +196,23 @@
     data: bytes
 
 
+@dataclass(slots=True)
+class Fleet:
+    """What the fleet's view tells; see docs/design/view.md.
+
+    Attributes:
+        live: sidecars that carry traffic, this one among them.
+        ranks: by server, the own place among sidecars of the own zone; below 1 it is one to sample.
+        failing: servers that several others gave up on lately.
+        answering: servers that several others had an answer of after that.
+    """
+
+    live: int
+    ranks: Mapping[int, float]
+    failing: Set[int] = frozenset()
+    answering: Set[int] = frozenset()
+
+
 @dataclass(slots=True)
 class Timer:
     token: int
@@ -260,6 +278,14 @@
     peer: int | None = None  # None: every peer
 
 
+@dataclass(slots=True)
+class Hint:
+    """Tell the fleet that a server is given up on, or that it answers again."""
+
+    server: int
+    answers: bool
+
+
 @dataclass(slots=True)
 class Watch:
     on: bool = True
@@ -292,5 +318,6 @@
     | PeerMessage
     | Timer
     | Retune
+    | Fleet
 )
-Action = Send | Refuse | Fail | Cancel | Probe | CloseIdle | Tell | Watch | Fetch | SetTimer | Log
+Action = Send | Refuse | Fail | Cancel | Probe | CloseIdle | Tell | Hint | Watch | Fetch | SetTimer | Log
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -273,6 +273,7 @@
         self.ejected: list[Server] = []
         self.ready_count = 0
         self.rest: list[Server] = []  # those that are not sampled from
+        self.view: api.Fleet | None = None  # what is told of the other sidecars
         self.sees_little = True
         self.crowded = True  # there are more sidecars than servers
         self.set_size = 0
@@ -319,6 +320,7 @@
             api.StreamStarted: self._on_stream,
             api.BodySent: self._on_body,
             api.Retune: self._on_retune,
+            api.Fleet: self._on_fleet,
         }
 
     def _take(self, settings: Settings, live: list[Work]) -> None:
@@ -481,6 +483,20 @@
             rates = [value / RATE_UNIT for value in self.rates.unpack(event.data)]
             self.peer_asks[event.sender] = (self.now, rates)
 
+    def _on_fleet(self, event: api.Fleet) -> None:
+        """Who is there, and what several found. A hint is a prior: it takes a failure of one's own."""
+        self.view = event
+        for server in self.servers.values():
+            server.rank = event.ranks.get(server.id, server.rank)
+            if server.id in event.failing and not server.ejected:
+                server.strikes = max(server.strikes, STRIKES - 1.0)
+            if server.id in event.answering:
+                server.trial_at = min(server.trial_at, self.now)
+        self.regroup()
+
+    def _sidecars(self) -> int:
+        return self.view.live if self.view else self.settings.fleet_size
+
     def _on_probe(self, event: api.ProbeResult) -> None:
         server = self.servers.get(event.server)
         waiting = self.asking.pop(event.server, ())
@@ -950,6 +966,8 @@
                 self._rescue(req, number)
 
     def _set_trial(self, server: Server) -> None:
+        if self.view:
+            self.actions.append(api.Hint(server.id, False))
         wait = self.shortest * min(EJECT_FOR * EJECT_GROWTH**server.ejections, EJECT_MOST)
         server.ejections += 1
         server.trial_at = self.now + int(wait * self.random.uniform(1.0 - EJECT_JITTER, 1.0 + EJECT_JITTER))
@@ -967,6 +985,8 @@
         return None
 
     def _readmit(self, server: Server) -> None:
+        if self.view:
+            self.actions.append(api.Hint(server.id, True))
         server.ejected = False
         self.inflight += server.waited_for()
         server.rel = min(server.rel, FULL_SAMPLE)
@@ -985,14 +1005,16 @@
         far = [server for server in ready if server.zone != here and not server.ejected]
         size = self.set_size = self._set_size()
         # Where servers outnumber sidecars each makes much of a server's load, whatever it sends just now.
-        self.crowded = len(ready) < self.settings.fleet_size
+        self.crowded = len(ready) < self._sidecars()
         self.sees_little = self.crowded and size < len(ready)
         if self.sees_little:
             near.sort(key=lambda server: server.rank)  # the same ones as long as they are fit
             far.sort(key=lambda server: server.rank)
             few = size
         else:
-            known = math.ceil(FAR_KNOWN * len(far) / self.settings.fleet_size)
+            known = math.ceil(FAR_KNOWN * len(far) / self._sidecars())
+            if self.view and self.view.ranks:
+                known = sum(server.rank < 1.0 for server in far)
             few = max(SET_LEAST, int(FAR_SPAN * size), known)
             size = len(ready)
             if few < len(far):
@@ -1160,7 +1182,7 @@
                 most = most if first else max(most, self.limit)
             else:
                 # A limit that follows what is in flight lets a surge in before the first late answer.
-                spread = LIMIT_IDLE * self.ready_count / self.settings.fleet_size
+                spread = LIMIT_IDLE * self.ready_count / self._sidecars()
                 most = LIMIT_SURGE * self.wanted_inflight + LIMIT_SMALL + spread
             grow = LIMIT_GROW
             known = max(self.wanted_inflight, LIMIT_AGAIN * self.good)
@@ -1168,7 +1190,7 @@
                 grow = 1.0 + LIMIT_CREEP * (1.0 - self.pressure)  # a leap over what is known good overshoots
             limit = min(self.limit * grow, most)
         # Every sidecar keeps its part of a floor, so that all together leave a tired fleet nearly idle.
-        least = LIMIT_LEAST * self.ready_count / self.settings.fleet_size
+        least = LIMIT_LEAST * self.ready_count / self._sidecars()
         self.limit = max(limit, least, 0.0 if self.sees_little else 1.0)
         top = max(self._density(work) for work in self.live) or 1.0  # classes may all be worth nothing
         # What is shed first is soon the worst-served class, which the goal may weigh by itself.
@@ -1199,7 +1221,7 @@
         tenants = self.settings.tenants
         fresh = self.now - PEER_FADE * SHARES_EVERY * self.shortest
         peers = [rates for when, rates in self.peer_asks.values() if when >= fresh]
-        if len(peers) + 1 >= self.settings.fleet_size:
+        if len(peers) + 1 >= self._sidecars():
             # All are heard: the shares are known as they are stated, over all sidecars together.
             part = 1.0
             asks = [sum(rates) for rates in zip(self.asks, *peers, strict=True)]
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -288,6 +288,7 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}  # those out, also of requests that are over
         self.next_id = 1
         self.events: deque[api.Event] = deque()
+        self.hinted: Callable[[int, bool], None] = lambda _server, _answers: None  # what it says to the fleet
         self.handling = False
         self.carry_out = self._actions()
         self.maintenance: Maintenance[Listed] = Maintenance(
@@ -335,6 +336,7 @@
             api.Probe: lambda action: self._probe(action.server),
             api.CloseIdle: lambda action: self.upstreams.close_idle(action.server),
             api.Tell: self._tell,
+            api.Hint: lambda action: self.hinted(action.server, action.answers),
             api.Watch: lambda action: self._watch(action.on),
             api.Fetch: lambda _: self.discovery.fetch() if self.discovery is not None else None,
             api.Log: lambda action: log.info(action.text),
@@ -717,6 +719,15 @@
         self.upstreams.update(server, target.address, target.since_ms, State.GONE)
         self.upstreams.forget(server)
 
+    def named(self) -> dict[str, tuple[int, int]]:
+        """The module's servers: number and zone by name."""
+        known = self.balancer.servers
+        return {
+            name: (number, known[number].zone)
+            for name, number in self.names.servers.items()
+            if number in known
+        }
+
     def on_peer(self, sender: int, data: bytes) -> None:
         self.post(api.PeerMessage(sender, data))
 
--- /dev/null
+++ b/tests/fleet/test_priors.py
@@ -0,0 +1,145 @@
+"""What the module makes of the view, and the view of what modules find."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from helpers import SECOND, make, request, send_one
+
+from dykefold.fleet.coverage import KNOWN_BY, PAIRS_MOST, ranks
+from dykefold.fleet.priors import enough, event, newest_list, say_found, say_list, subject_of
+from dykefold.interface import Fleet, Hint, Outcome, Status
+from dykefold.sim.views import Views
+
+ZONES = 3
+
+
+def whole(size: int, seed: int = 1) -> Views:
+    world = Views(size, seed)
+    for number in range(size):
+        world.start(number)
+    assert world.run(20 * SECOND, lambda: world.right() and world.equal())
+    return world
+
+
+def placed(members: list[int], servers: int = 60) -> dict[int, dict[int, float]]:
+    live = [(member, member % ZONES) for member in members]
+    listed = [(1000 + server, server % ZONES) for server in range(servers)]
+    return {member: ranks(listed, member, zone, live) for member, zone in live}
+
+
+def afar(found: dict[int, dict[int, float]]) -> set[tuple[int, int]]:
+    """Members with the servers of other zones that they sample."""
+    return {
+        (member, server)
+        for member, by_server in found.items()
+        for server, rank in by_server.items()
+        if rank < 1.0 and (server - 1000) % ZONES != member % ZONES
+    }
+
+
+def test_each_server_is_sampled_by_as_many_members_of_other_zones() -> None:
+    known = Counter(server for _, server in afar(placed(list(range(42)))))
+    assert sorted(known) == list(range(1000, 1060))
+    assert min(known.values()) >= KNOWN_BY
+    assert max(known.values()) <= KNOWN_BY + ZONES
+
+
+def test_a_member_that_goes_moves_what_it_sampled_and_hardly_more() -> None:
+    everyone = list(range(42))
+    before, after = afar(placed(everyone)), afar(placed([member for member in everyone if member != 7]))
+    its = {pair for pair in before if pair[0] == 7}
+    assert not before - after - its  # all others keep theirs
+    assert len(after - before) <= 2 * len(its) + ZONES
+
+
+def test_too_many_to_rank_are_not_ranked() -> None:
+    live = [(member, 0) for member in range(PAIRS_MOST)]
+    assert ranks([(1, 0), (2, 1)], 0, 0, live) == {}
+    assert ranks([(1, 0)], 0, 1, [(0, None)]) == {}  # nobody of the own zone is known
+
+
+def test_a_hint_wants_several_others_who_live_and_the_latest_word_of_each_counts() -> None:
+    world = whole(9)
+    view, servers = world.living[0], {"s-1": (11, 0), "s-2": (12, 1)}
+    assert [enough(live) for live in (9, 4, 2)] == [3, 2, 2]
+    for member in (1, 2):
+        say_found(world.living[member], world.now_ns, "s-1", answers=False)
+    say_found(view, world.now_ns, "s-1", answers=False)  # its own word is no news to it
+    world.run(SECOND)
+    told = event(view, world.now_ns, servers)
+    assert told.live == 9 and not told.failing
+    assert set(told.ranks) == {11, 12}
+    say_found(world.living[3], world.now_ns, "s-1", answers=False)
+    world.run(SECOND)
+    assert event(view, world.now_ns, servers).failing == {11}
+    for member in (1, 2, 3):
+        say_found(world.living[member], world.now_ns, "s-1", answers=True)
+    world.run(SECOND)
+    told = event(view, world.now_ns, servers)
+    assert not told.failing and told.answering == {11}
+    world.run(15 * SECOND)
+    assert not event(view, world.now_ns, servers).answering
+
+
+def test_who_hears_nobody_counts_on_all() -> None:
+    world = whole(6)
+    world.cut = lambda sender, peer: 0 in (sender, peer)
+    world.run(20 * SECOND)
+    view = world.living[0]
+    assert view.live(world.now_ns) == [0]
+    assert event(view, world.now_ns, {"s-1": (11, 0)}) == Fleet(6, {})
+
+
+def test_the_newest_list_is_told_once_and_by_whoever_has_it() -> None:
+    world = whole(6)
+    for member, version in ((0, 7), (1, 9), (2, 8)):
+        say_list(world.living[member], world.now_ns, "disco", version)
+        world.run(SECOND)
+    assert newest_list(world.living[5], world.now_ns, "disco") == 9
+    assert (2, 2, subject_of("disco")) not in world.living[5].knowledge.records
+    assert newest_list(world.living[5], world.now_ns, "other") is None
+
+
+def test_the_module_ejects_at_one_failure_of_its_own_what_several_found_to_fail() -> None:
+    hints = {}
+    for told in (False, True):
+        balancer, now = make(servers=6, fleet_size=4)
+        balancer.handle(now, Fleet(4, {}, frozenset({102}) if told else frozenset()))
+        assert not balancer.servers[102].ejected  # never by hints alone
+        ident = 1
+        while True:
+            send = send_one(balancer, now, ident)
+            ident += 1
+            if send.server == 102:
+                break
+            balancer.handle(now, Outcome(ident - 1, 0, send.server, Status.OK, SECOND // 50, True))
+        actions = balancer.handle(now, Outcome(ident - 1, 0, 102, Status.RESET, SECOND // 50, False))
+        assert balancer.servers[102].ejected is told
+        hints[told] = [action for action in actions if isinstance(action, Hint)]
+    assert hints == {False: [], True: [Hint(102, False)]}
+
+
+def test_the_module_tries_at_once_what_answers_others_and_says_so_when_it_answers_here() -> None:
+    balancer, now = make(servers=6, fleet_size=4)
+    balancer.handle(now, Fleet(4, {}, frozenset({102})))
+    server = balancer.servers[102]
+    balancer.now, balancer.actions = now, []
+    balancer._eject(server)
+    assert server.trial_at > now
+    balancer.handle(now, Fleet(4, {}, answering=frozenset({102})))
+    actions = balancer.handle(now, request(900, now))
+    (send,) = [action for action in actions if hasattr(action, "server")]
+    assert send.server == 102
+    actions = balancer.handle(now, Outcome(900, 0, 102, Status.OK, SECOND // 50, True))
+    assert Hint(102, True) in actions
+
+
+def test_a_module_that_hears_of_no_fleet_says_no_hints_and_counts_what_is_set() -> None:
+    balancer, now = make(servers=6, fleet_size=4)
+    balancer.now, balancer.actions = now, []
+    balancer._eject(balancer.servers[102])
+    assert not any(isinstance(action, Hint) for action in balancer.actions)
+    assert balancer._sidecars() == 4
+    balancer.handle(now, Fleet(12, {}))
+    assert balancer._sidecars() == 12
