--- /dev/null
+++ b/tests/fleet/test_edge.py
@@ -0,0 +1,105 @@
+"""The view in a process: what people see of it, what an operator's file may ask, when it is off."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+
+import pytest
+from net_helpers import run
+from typer.testing import CliRunner
+
+from dykefold.cli import app
+from dykefold.fleet.options import Options
+from dykefold.lab.fleet.run import VIEW_PORT, rigged
+from dykefold.lab.fleet.scenario import FleetScenario, FleetTable
+from dykefold.lab.fleet.views import ask
+from dykefold.operators import ServiceError, read_service
+
+
+def view(*arguments: str):
+    return CliRunner().invoke(app, ["fleet", "view", *arguments])
+
+
+def test_people_see_members_come_and_go_with_the_cause() -> None:
+    async def play() -> None:
+        async with rigged(FleetScenario(FleetTable(members=3, servers=2, view=True))) as rig:
+            processes = [await rig.start(number) for number in range(3)]
+            assert all(process is not None for process in processes)
+            first = processes[0]
+            assert first is not None
+            await first.says(r"member 1 is alive, was unknown: .* \(incarnation \d+\)")
+            at = f"{rig.watch.addresses[0][0]}:{VIEW_PORT}"  # type: ignore[union-attr]
+
+            async def told() -> dict:
+                shown = await asyncio.to_thread(view, "--at", at, "--json")
+                assert shown.exit_code == 0
+                return json.loads(shown.stdout)
+
+            async with asyncio.timeout(20):
+                while (await told())["live"] < 3:
+                    await asyncio.sleep(0.1)
+            last = processes[2]
+            assert last is not None
+            last.terminate()
+            await last.ended()
+            await first.says(r"member 2 is left, was \w+: ")
+            seen = await told()
+            assert [one["state"] for one in seen["members"]] == ["alive", "alive", "left"]
+            assert [one["zone"] for one in seen["members"]] == [0, 1, 2]
+            assert not seen["alone"]
+            shown = await asyncio.to_thread(view, "--at", at)
+            assert shown.exit_code == 0
+            assert "2 live" in shown.stdout
+            assert "member 2 is left" in " ".join(shown.stdout.split())
+            with pytest.raises(ValueError, match="404"):
+                await ask(rig.watch.addresses[0], "/servers/x/maint")  # type: ignore[union-attr]
+
+    run(play())
+
+
+def test_a_fleet_renumbered_by_sighup_keeps_whom_it_knew() -> None:
+    async def play() -> None:
+        async with rigged(FleetScenario(FleetTable(members=3, servers=2, view=True))) as rig:
+            processes = [await rig.start(number) for number in range(3)]
+            await rig.members[0].processes[0].says("member 2 is alive")
+            await rig.members[2].processes[0].says("member 0 is alive")
+            # The same addresses, the last two the other way round, told to one member after the other.
+            peers = rig.datagrams.addresses()
+            peers = [peers[0], peers[2], peers[1]]
+            for number, place in ((0, 0), (1, 2), (2, 1)):
+                member = rig.members[number]
+                data = json.loads((member.folder / "config0.json").read_text())
+                data["peers"] = peers
+                data["settings"]["index"] = place
+                (member.folder / "config0.json").write_text(json.dumps(data))
+                process = processes[number]
+                assert process is not None
+                process.signal(signal.SIGHUP)
+                await asyncio.sleep(1.0)
+            brief = [await ask(address, "/fleet/brief") for address in rig.watch.addresses]  # type: ignore[union-attr]
+            assert [one["live"] for one in brief] == ["7"] * 3
+            assert [one["member"] for one in brief] == [0, 2, 1]
+            assert not any("is gone" in line for member in rig.members for line in member.processes[0].lines)
+
+    run(play())
+
+
+def test_a_wrong_address_and_silence_are_told_apart() -> None:
+    assert view("--at", "nowhere").exit_code == 2
+    assert view("--at", "127.0.0.1:1").exit_code == 1
+
+
+def test_the_operators_file_is_checked_whole(tmp_path) -> None:
+    path = tmp_path / "service.toml"
+    path.write_text('[fleet]\nview = 3\nlisten = "here"\nport = 1\n[pools.a]\n')
+    with pytest.raises(ServiceError) as error:
+        read_service(str(path))
+    told = " ".join(error.value.problems)
+    for expected in ("fleet.view", "fleet.port", "fleet.listen", "no meaning beside pools"):
+        assert expected in told, told
+    path.write_text('[fleet]\nview = true\nlisten = "127.0.0.1:9100"\n')
+    assert read_service(str(path)).fleet == Options(True, ("127.0.0.1", 9100))
+    path.write_text("")
+    assert read_service(str(path)).fleet == Options()
