View: findings passed on three times and from five origins, none by who hears nobody

Now who hears nobody says nothing, records are told on three times, on one subject those of five origins, and the list's version is told up to 4 s later and only if nobody has.

--- a/dykefold/fleet/edge.py
+++ b/dykefold/fleet/edge.py
@@ -25,6 +25,7 @@
 
 LINES_PER_S = 5.0  # of the log, on changes; as many at once
 NOTED = 64  # latest changes that operators can ask for
+LIST_S = 4.0  # after a new list, within which its version is told, if nobody has told it by then
 TELL_S = 0.5  # between two words to the module on who is there
 
 
@@ -73,7 +74,7 @@
             price: of a datagram, as the settings state it.
         """
         self.loop, self.node, self.peers, self.system = loop, node, peers, system
-        chance = random.Random(seed)
+        chance = self.chance = random.Random(seed)
         now_ns = system.monotonic_ns()
         wall_ms = system.time_ns() // 1_000_000
         self.view = View(roster, me, zone, wall_ms, Pace.by_price(price), chance, now_ns)
@@ -85,6 +86,7 @@
         self.pool: Pool | None = None  # whose module hears of the fleet
         self.known = (0, 0)  # of its servers, so that new ones are seen
         self.telling: asyncio.TimerHandle | None = None
+        self.listing: asyncio.TimerHandle | None = None
         self.closed = False
         self.timer = loop.call_later(0.0, self._tick)
 
@@ -128,8 +130,8 @@
             if known != self.known:
                 self.known = known
                 self._tell_soon()
-                if self.pool.discovery is not None:
-                    priors.say_list(self.view, now_ns, self.pool.discovery.host, self.pool.version)
+                if self.listing is None:
+                    self.listing = self.loop.call_later(self.chance.uniform(0, LIST_S), self._say_list)
         due_ns = self.view.tick(now_ns)
         self._carry_out()
         self.timer = self.loop.call_later((due_ns - now_ns) / SECOND, self._tick)
@@ -142,8 +144,9 @@
     def close(self) -> None:
         """The process ends, and says so."""
         self.timer.cancel()
-        if self.telling is not None:
-            self.telling.cancel()
+        for later in (self.telling, self.listing):
+            if later is not None:
+                later.cancel()
         if not self.closed:
             self.closed = True
             self.view.leave(self.system.monotonic_ns(), last=True)
@@ -163,6 +166,13 @@
             view.learned = False
             self._tell_soon()
 
+    def _say_list(self) -> None:
+        """Tell the version of the list; later than others, mostly, and then not at all."""
+        self.listing = None
+        if self.pool is not None and self.pool.discovery is not None and not self.closed:
+            now_ns = self.system.monotonic_ns()
+            priors.say_list(self.view, now_ns, self.pool.discovery.host, self.pool.version)
+
     def _tell_soon(self) -> None:
         if self.telling is None and self.pool is not None and not self.closed:
             self.telling = self.loop.call_later(TELL_S, self._tell)
--- a/dykefold/fleet/knowledge.py
+++ b/dykefold/fleet/knowledge.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import IntEnum
@@ -31,17 +32,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Bound:
-    """How long a record of a topic says anything, and how many one origin may have."""
+    """What a topic may take up.
+
+    Attributes:
+        lasts_ns: how long a record says anything.
+        most: records of one origin.
+        passed_on: records on one subject; what more origins say is kept, and not told on.
+    """
 
     lasts_ns: int
     most: int
+    passed_on: int
 
 
 BOUNDS = {
-    Topic.LIST: Bound(60 * SECOND, 1),
-    Topic.FAILS: Bound(10 * SECOND, 8),
-    Topic.ANSWERS: Bound(10 * SECOND, 8),
+    Topic.LIST: Bound(60 * SECOND, 1, 1000),
+    Topic.FAILS: Bound(10 * SECOND, 8, 5),
+    Topic.ANSWERS: Bound(10 * SECOND, 8, 5),
 }
+TELLS = 3  # of each record by each member: reaches most of the fleet, and a hint need not reach all
 
 Key = tuple[int, int, int]  # topic, origin, subject
 
@@ -57,6 +66,7 @@
         self.me = me
         self.records: dict[Key, tuple[Record, int]] = {}  # with the time at which the origin said it
         self.of: dict[tuple[int, int], set[int]] = {}  # subjects by topic and origin
+        self.on: Counter[tuple[int, int]] = Counter()  # records by topic and subject
         self.news: News[Key] = News()
         self.sequence = 0
 
@@ -96,13 +106,18 @@
             if len(self.records) >= RECORDS_MOST:
                 return False
             subjects.add(record.subject)
+            self.on[key[0], key[2]] += 1
         self.records[key] = (record, said_ns)
-        self.news.add(key)
+        if record.origin == self.me or self.on[key[0], key[2]] <= bound.passed_on:
+            self.news.add(key)
         return True
 
     def _drop(self, key: Key) -> None:
         del self.records[key]
         self.news.drop(key)
+        self.on[key[0], key[2]] -= 1
+        if not self.on[key[0], key[2]]:
+            del self.on[key[0], key[2]]
         subjects = self.of[key[:2]]
         subjects.discard(key[2])
         if not subjects:
@@ -118,9 +133,9 @@
         for key in old:
             self._drop(key)
 
-    def told(self, now_ns: int, most: int, limit: int) -> list[Record]:
+    def told(self, now_ns: int, most: int) -> list[Record]:
         """The next records to tell, with their ages now."""
-        keys = self.news.take(most, limit) if most > 0 else []
+        keys = self.news.take(most, TELLS) if most > 0 else []
         return [self._aged(now_ns, *self.records[key]) for key in keys if key in self.records]
 
     @staticmethod
--- a/dykefold/fleet/priors.py
+++ b/dykefold/fleet/priors.py
@@ -34,8 +34,11 @@
     """The module gave up on a server, or had an answer of it after that; whether the fleet is told.
 
     What enough others say is not said once more, unless it takes back what this member has said: a lost zone
-    cost each of 60 sidecars a word on each of its servers, which all of them passed on.
+    cost each of 60 sidecars a word on each of its servers, which all of them passed on. Who hears nobody may
+    well be cut off from its servers too, and says nothing.
     """
+    if view.alone:
+        return False
     subject = subject_of(name)
     own = _latest(view, now_ns, {view.me}).get((view.me, subject))
     if own is None or own[1] is answers:
--- a/dykefold/fleet/view.py
+++ b/dykefold/fleet/view.py
@@ -398,7 +398,7 @@
         if not self.alone:
             taken = self.news.take(ENTRIES_MOST - len(entries), self._limit())
             entries += [(number, self.table.words[number]) for number in taken if number != peer]
-            records = self.knowledge.told(now_ns, datagrams.room(len(entries)), self._limit())
+            records = self.knowledge.told(now_ns, datagrams.room(len(entries)))
         gram = Datagram(kind, self.roster, self.own, nonce, about, entries, records=records)
         self._put(peer, gram)
         return True
@@ -414,6 +414,7 @@
         data = datagrams.write(gram)
         assert len(data) <= MOST
         self.counts["sent"] += 1
+        self.counts[f"sent {gram.kind.name}"] += 1
         self.counts["sent bytes"] += len(data)
         self.out.append((peer, data))
 
