--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -1,7 +1,8 @@
 """The program under the rig's faults: real processes, a network between them that breaks.
 
-`python -m benchmarks.rig [MEMBERS [NAME ...]]`: the scenarios of `SCENARIOS` with so many members (30), a
-line of JSON each. 200 members want some 6 GB and several cores. The load is small: the fleet is looked at.
+`python -m benchmarks.rig [--view] [MEMBERS [NAME ...]]`: the scenarios of `SCENARIOS` with so many members
+(30), a line of JSON each; with a view, longer, until it has settled. 200 members want some 6 GB and several
+cores. The load is small: the fleet is looked at.
 """
 
 from __future__ import annotations
@@ -31,17 +32,22 @@
     "0.3 of the datagrams lost": [FaultTable("loss", at_s=0, for_s=12, share=0.3)],
 }
 SPAN_S = 14.0
+VIEW_SPAN_S = 24.0
 RATE = 300.0  # requests a second to all members together
 
 
-def main(members: int, names: list[str]) -> None:
-    fleet = FleetTable(members=members, zones=list("abc"), servers=max(members // 10, 2), rate=RATE / members)
+def main(members: int, names: list[str], view: bool) -> None:
+    servers = max(members // 10, 2)
+    fleet = FleetTable(members=members, zones=list("abc"), servers=servers, rate=RATE / members, view=view)
     for name in names or SCENARIOS:
         began = time.monotonic()
-        seen = uvloop.run(play(FleetScenario(fleet, faults=SCENARIOS[name], span_s=SPAN_S)))
+        seen = uvloop.run(
+            play(FleetScenario(fleet, faults=SCENARIOS[name], span_s=VIEW_SPAN_S if view else SPAN_S))
+        )
         told = {"scenario": name, "members": members, "took_s": round(time.monotonic() - began, 1)}
         print(json.dumps({**told, **seen.described()}), flush=True)
 
 
 if __name__ == "__main__":
-    main(int(sys.argv[1]) if len(sys.argv) > 1 else 30, sys.argv[2:])
+    words = [word for word in sys.argv[1:] if word != "--view"]
+    main(int(words[0]) if words else 30, words[1:], "--view" in sys.argv)
--- a/dykefold/cli/lab.py
+++ b/dykefold/cli/lab.py
@@ -68,12 +68,16 @@
 def fleet(
     file: Annotated[Path, typer.Argument(metavar="SCENARIO", help="A scenario, as deploy/fleet.toml.")],
     as_json: Annotated[bool, typer.Option("--json", help="One JSON object for programs.")] = False,
+    plot: Annotated[
+        Path | None, typer.Option("--plot", metavar="FILE", help="Draw the views over time, as SVG.")
+    ] = None,
 ) -> None:
     """Play SCENARIO with real processes and a network that breaks; exit code 1 if a rule is broken."""
     import uvloop
 
     from ..lab.fleet.run import play
     from ..lab.fleet.scenario import read_fleet
+    from ..lab.fleet.views import plotted
     from ..operators import ServiceError
 
     try:
@@ -85,6 +89,9 @@
     except OSError as error:
         typer.echo(f"dykefold: {error}", err=True)
         raise typer.Exit(1) from None
+    if plot is not None:
+        faults = [(one.at_s, one.at_s + one.for_s, one.kind) for one in scenario.faults]
+        plot.write_text(plotted(seen.looks, scenario.fleet.members, faults))
     told = seen.described()
     if as_json:
         typer.echo(json.dumps(told))
--- a/dykefold/lab/fleet/views.py
+++ b/dykefold/lab/fleet/views.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -103,7 +103,7 @@
     return json.loads(body)
 
 
-def plotted(looks: list[Look], members: int, faults: list[tuple[float, float, str]]) -> str:
+def plotted(looks: list[Look], members: int, faults: Sequence[tuple[float, float, str]]) -> str:
     """The views over time as SVG: a row to a member, darker the more others it has wrong; faults above.
 
     Args:
--- a/tests/lab/test_fleet_rig.py
+++ b/tests/lab/test_fleet_rig.py
@@ -189,6 +189,8 @@
 
 def test_the_command_plays_a_scenario(tmp_path):
     path = tmp_path / "fleet.toml"
-    path.write_text("span_s = 1.0\n[fleet]\nmembers = 2\n")
-    got = CliRunner().invoke(app, ["lab", "fleet", str(path), "--json"])
+    path.write_text("span_s = 1.0\n[fleet]\nmembers = 2\nview = true\n")
+    plot = tmp_path / "views.svg"
+    got = CliRunner().invoke(app, ["lab", "fleet", str(path), "--json", "--plot", str(plot)])
     assert got.exit_code == 0 and json.loads(got.stdout)["ready"] == 2
+    assert plot.read_text().count("<rect") >= 4
