View: ranks from 0 to 1, so that a new server is neither first nor last for all

A new server had a rank of its own below 1 until the next word of the view, the others places up to 12: for half a second each sidecar put it first. Places are now a part of the zone's members, evenly from 0 to 1 as ranks by chance are, and how many are to be sampled is told beside them.

--- a/dykefold/fleet/coverage.py
+++ b/dykefold/fleet/coverage.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable, Sequence
 
 from .words import mix
@@ -23,25 +22,26 @@
     return sum(mix(server, member + 1) > own for member in members if member != me)
 
 
-def ranks(
-    servers: Sequence[tuple[int, int]], me: int, zone: int | None, live: Sequence[Placed]
-) -> dict[int, float]:
-    """By server the own place among the members of the own zone: below 1, it is to be sampled from afar.
+def part(live: Sequence[Placed]) -> float:
+    """Of the members of a zone, the part that is to sample a server of another one; 1 at the most."""
+    zones = len({zone for _, zone in live}) or 1
+    afar = len(live) * (zones - 1) / zones  # of a server, on average
+    return min(KNOWN_BY / afar, 1.0) if afar else 1.0
+
+
+def ranks(servers: Sequence[int], me: int, zone: int | None, live: Sequence[Placed]) -> dict[int, float]:
+    """By server the own place among the members of the own zone, as a part of these: from 0, below 1.
+
+    Of one zone's members each has another place for a server, evenly from 0 to 1, as the ranks that sidecars
+    draw by themselves are on average: servers that are not ranked yet stand neither first nor last.
 
     Args:
-        servers: number and zone of each.
         live: number and zone of each member that carries traffic; None where a zone is not known.
 
     Returns:
-        By server; empty where there is too much to rank, and each goes by a rank of its own.
+        Empty where there is too much to rank, and each goes by ranks of its own.
     """
     beside = [member for member, of in live if of == zone]
     if not beside or len(beside) * len(servers) > PAIRS_MOST:
         return {}
-    found = {}
-    counts = Counter(of for _, of in live)
-    for server, of in servers:
-        afar = max(len(live) - counts[of], 1)
-        share = KNOWN_BY * len(beside) / afar  # of those who sample it, from this zone
-        found[server] = place(server, me, beside) / share
-    return found
+    return {server: place(server, me, beside) / len(beside) for server in servers}
--- a/dykefold/fleet/edge.py
+++ b/dykefold/fleet/edge.py
@@ -39,8 +39,8 @@
 
     def post(self, event: api.Event) -> None: ...
 
-    def named(self) -> dict[str, tuple[int, int]]:
-        """The module's servers: number and zone by name."""
+    def named(self) -> dict[str, int]:
+        """The numbers of the module's servers, by name."""
         ...
 
 
--- a/dykefold/fleet/priors.py
+++ b/dykefold/fleet/priors.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 
 from .. import interface as api
-from .coverage import ranks
+from .coverage import part, ranks
 from .knowledge import Topic
 from .view import View
 from .words import zone_of
@@ -65,26 +65,25 @@
     return max(told, default=None)
 
 
-def event(view: View, now_ns: int, servers: Mapping[str, tuple[int, int]]) -> api.Fleet:
+def event(view: View, now_ns: int, servers: Mapping[str, int]) -> api.Fleet:
     """What the module is to know now.
 
     Args:
-        servers: by name, the module's number of each, and its zone.
+        servers: by name, the module's number of each.
     """
     live = view.live(now_ns)
     if live == [view.me]:
         # Nobody is heard. Those who can't be may well be there and use the same servers: count on them all.
         return api.Fleet(len(view.addresses), {})
     zones = [(number, zone_of(view.table.words[number])) for number in live]
-    by_subject = {subject_of(name): number for name, (number, _) in servers.items()}
-    placed = ranks(
-        [(subject_of(name), zone) for name, (_, zone) in servers.items()], view.me, view.zone, zones
-    )
+    by_subject = {subject_of(name): number for name, number in servers.items()}
+    placed = ranks(list(by_subject), view.me, view.zone, zones)
     failing, answering = _found(view, now_ns, set(live))
     least = enough(len(live))
     return api.Fleet(
         len(live),
         {by_subject[subject]: rank for subject, rank in placed.items()},
+        part(zones),
         frozenset(by_subject[one] for one, count in failing.items() if count >= least and one in by_subject),
         frozenset(
             by_subject[one] for one, count in answering.items() if count >= least and one in by_subject
--- a/dykefold/interface.py
+++ b/dykefold/interface.py
@@ -202,13 +202,15 @@
 
     Attributes:
         live: sidecars that carry traffic, this one among them.
-        ranks: by server, the own place among sidecars of the own zone; below 1 it is one to sample.
+        ranks: by server, the own place among sidecars of the own zone, from 0, below 1; each has another one.
+        part: ranks of servers of other zones below this are to be sampled.
         failing: servers that several others gave up on lately.
         answering: servers that several others had an answer of after that.
     """
 
     live: int
     ranks: Mapping[int, float]
+    part: float = 1.0
     failing: Set[int] = frozenset()
     answering: Set[int] = frozenset()
 
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -1014,7 +1014,7 @@
         else:
             known = math.ceil(FAR_KNOWN * len(far) / self._sidecars())
             if self.view and self.view.ranks:
-                known = sum(server.rank < 1.0 for server in far)
+                known = sum(server.rank < self.view.part for server in far)
             few = max(SET_LEAST, int(FAR_SPAN * size), known)
             size = len(ready)
             if few < len(far):
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -719,14 +719,10 @@
         self.upstreams.update(server, target.address, target.since_ms, State.GONE)
         self.upstreams.forget(server)
 
-    def named(self) -> dict[str, tuple[int, int]]:
-        """The module's servers: number and zone by name."""
+    def named(self) -> dict[str, int]:
+        """The numbers of the module's servers, by name."""
         known = self.balancer.servers
-        return {
-            name: (number, known[number].zone)
-            for name, number in self.names.servers.items()
-            if number in known
-        }
+        return {name: number for name, number in self.names.servers.items() if number in known}
 
     def on_peer(self, sender: int, data: bytes) -> None:
         self.post(api.PeerMessage(sender, data))
--- a/tests/fleet/test_priors.py
+++ b/tests/fleet/test_priors.py
@@ -6,7 +6,7 @@
 
 from helpers import SECOND, make, request, send_one
 
-from dykefold.fleet.coverage import KNOWN_BY, PAIRS_MOST, ranks
+from dykefold.fleet.coverage import KNOWN_BY, PAIRS_MOST, part, ranks
 from dykefold.fleet.priors import enough, event, newest_list, say_found, say_list, subject_of
 from dykefold.interface import Fleet, Hint, Outcome, Status
 from dykefold.sim.views import Views
@@ -22,32 +22,28 @@
     return world
 
 
-def placed(members: list[int], servers: int = 60) -> dict[int, dict[int, float]]:
-    live = [(member, member % ZONES) for member in members]
-    listed = [(1000 + server, server % ZONES) for server in range(servers)]
-    return {member: ranks(listed, member, zone, live) for member, zone in live}
-
-
-def afar(found: dict[int, dict[int, float]]) -> set[tuple[int, int]]:
+def afar(members: list[int], servers: int = 60) -> set[tuple[int, int]]:
     """Members with the servers of other zones that they sample."""
+    live = [(member, member % ZONES) for member in members]
+    least = part(live)
     return {
         (member, server)
-        for member, by_server in found.items()
-        for server, rank in by_server.items()
-        if rank < 1.0 and (server - 1000) % ZONES != member % ZONES
+        for member, zone in live
+        for server, rank in ranks(range(servers), member, zone, live).items()
+        if rank < least and server % ZONES != zone
     }
 
 
 def test_each_server_is_sampled_by_as_many_members_of_other_zones() -> None:
-    known = Counter(server for _, server in afar(placed(list(range(42)))))
-    assert sorted(known) == list(range(1000, 1060))
+    known = Counter(server for _, server in afar(list(range(42))))
+    assert sorted(known) == list(range(60))
     assert min(known.values()) >= KNOWN_BY
     assert max(known.values()) <= KNOWN_BY + ZONES
 
 
 def test_a_member_that_goes_moves_what_it_sampled_and_hardly_more() -> None:
     everyone = list(range(42))
-    before, after = afar(placed(everyone)), afar(placed([member for member in everyone if member != 7]))
+    before, after = afar(everyone), afar([member for member in everyone if member != 7])
     its = {pair for pair in before if pair[0] == 7}
     assert not before - after - its  # all others keep theirs
     assert len(after - before) <= 2 * len(its) + ZONES
@@ -55,13 +51,13 @@
 
 def test_too_many_to_rank_are_not_ranked() -> None:
     live = [(member, 0) for member in range(PAIRS_MOST)]
-    assert ranks([(1, 0), (2, 1)], 0, 0, live) == {}
-    assert ranks([(1, 0)], 0, 1, [(0, None)]) == {}  # nobody of the own zone is known
+    assert ranks([1, 2], 0, 0, live) == {}
+    assert ranks([1], 0, 1, [(0, None)]) == {}  # nobody of the own zone is known
 
 
 def test_a_hint_wants_several_others_who_live_and_the_latest_word_of_each_counts() -> None:
     world = whole(9)
-    view, servers = world.living[0], {"s-1": (11, 0), "s-2": (12, 1)}
+    view, servers = world.living[0], {"s-1": 11, "s-2": 12}
     assert [enough(live) for live in (9, 4, 2)] == [3, 2, 2]
     for member in (1, 2):
         say_found(world.living[member], world.now_ns, "s-1", answers=False)
@@ -99,7 +95,7 @@
     world.run(20 * SECOND)
     view = world.living[0]
     assert view.live(world.now_ns) == [0]
-    assert event(view, world.now_ns, {"s-1": (11, 0)}) == Fleet(6, {})
+    assert event(view, world.now_ns, {"s-1": 11}) == Fleet(6, {})
 
 
 def test_the_newest_list_is_told_once_and_by_whoever_has_it() -> None:
@@ -116,7 +112,7 @@
     hints = {}
     for told in (False, True):
         balancer, now = make(servers=6, fleet_size=4)
-        balancer.handle(now, Fleet(4, {}, frozenset({102}) if told else frozenset()))
+        balancer.handle(now, Fleet(4, {}, failing=frozenset({102}) if told else frozenset()))
         assert not balancer.servers[102].ejected  # never by hints alone
         ident = 1
         while True:
@@ -133,7 +129,7 @@
 
 def test_the_module_tries_at_once_what_answers_others_and_says_so_when_it_answers_here() -> None:
     balancer, now = make(servers=6, fleet_size=4)
-    balancer.handle(now, Fleet(4, {}, frozenset({102})))
+    balancer.handle(now, Fleet(4, {}, failing=frozenset({102})))
     server = balancer.servers[102]
     balancer.now, balancer.actions = now, []
     balancer._eject(server)
