View: those who went count for the module until they could have been started again

Those who are killed count as gone after 4 s, and come back; between, each survivor's limits and sets grow to three times their part, and shrink again. Now whoever went counts for 30 s more (dykefold/logic.py uses one number: floor and spread of the limit, crowded or not, shares).

--- a/dykefold/fleet/edge.py
+++ b/dykefold/fleet/edge.py
@@ -17,7 +17,7 @@
 from ..system import SYSTEM, System
 from . import priors
 from .datagrams import is_ours
-from .pace import SECOND, Bucket, Pace
+from .pace import RESTART_NS, SECOND, Bucket, Pace
 from .view import Change, View
 from .words import State, incarnation_of, state_of, zone_of
 
@@ -87,6 +87,7 @@
         self.known = (0, 0)  # of its servers, so that new ones are seen
         self.telling: asyncio.TimerHandle | None = None
         self.listing: asyncio.TimerHandle | None = None
+        self.recount: asyncio.TimerHandle | None = None
         self.closed = False
         self.timer = loop.call_later(0.0, self._tick)
 
@@ -144,7 +145,7 @@
     def close(self) -> None:
         """The process ends, and says so."""
         self.timer.cancel()
-        for later in (self.telling, self.listing):
+        for later in (self.telling, self.listing, self.recount):
             if later is not None:
                 later.cancel()
         if not self.closed:
@@ -182,9 +183,16 @@
         now_ns = self.system.monotonic_ns()
         if self.pool is not None and self.view.steady(now_ns):
             self.pool.post(priors.event(self.view, now_ns, self.pool.named()))
+            if self.view.went and self.recount is None:
+                self.recount = self.loop.call_later(RESTART_NS / SECOND, self._count_again)
         else:
             self._tell_soon()  # what is known of the fleet just now would be taken for all of it
 
+    def _count_again(self) -> None:
+        """Those who went have had the time to be started again."""
+        self.recount = None
+        self._tell_soon()
+
     def _note(self, change: Change) -> None:
         self.latest.append(change)
         if not self.lines.take(change.at_ns):
--- a/dykefold/fleet/pace.py
+++ b/dykefold/fleet/pace.py
@@ -29,6 +29,7 @@
 ALONE_LONG = 20.0  # ... after so many nobody else is counted as live
 LATE = 0.5  # periods that the process may run late before it doubts itself
 LEAVING_NS = 10 * SECOND  # a planned end lasts no longer
+RESTART_NS = 30 * SECOND  # after which one that went is not waited for any more
 RAISE = 0.5  # periods between two new incarnations of one's own
 OLDER_NS = 10 * SECOND  # that a process without a view counts as live after it was heard
 
--- a/dykefold/fleet/priors.py
+++ b/dykefold/fleet/priors.py
@@ -81,7 +81,7 @@
     failing, answering = _found(view, now_ns, set(live))
     least = enough(len(live))
     return api.Fleet(
-        len(live),
+        view.expected(now_ns),
         {by_subject[subject]: rank for subject, rank in placed.items()},
         part(zones),
         frozenset(by_subject[one] for one, count in failing.items() if count >= least and one in by_subject),
--- a/dykefold/fleet/view.py
+++ b/dykefold/fleet/view.py
@@ -34,6 +34,7 @@
     OLDER_NS,
     RAISE,
     RELAY,
+    RESTART_NS,
     SENT_PER_S,
     SYNC,
     SYNC_NOT_LIVE,
@@ -130,6 +131,7 @@
         self.knowledge = Knowledge(me)
         self.last: dict[int, int] = {}  # when each member was heard last
         self.older: dict[int, int] = {}  # when processes without a view were
+        self.went: dict[int, int] = {}  # when members that lived were known to have gone, until they are back
         self.owed: dict[int, None] = {}  # members that don't know what is said of them
         self.buckets: dict[int, Bucket] = {}
         self.joined_ns = now_ns
@@ -174,6 +176,12 @@
             if state_of(said) in states or number in older or number == self.me
         ]
 
+    def expected(self, now_ns: int) -> int:
+        """Members that carry traffic, or went so lately that they may be about to be started again."""
+        live = set(self.live(now_ns))
+        lately = {number for number, at_ns in self.went.items() if now_ns - at_ns < RESTART_NS}
+        return len(live | lately)
+
     def say(self, now_ns: int, topic: Topic, subject: int, value: int) -> None:
         """Tell the fleet something that this member knows."""
         self.knowledge.say(now_ns, self.incarnation, topic, subject, value)
@@ -525,6 +533,10 @@
             return
         after = state_of(said)
         self.news.add(number)
+        if after in LIVE:
+            self.went.pop(number, None)
+        elif before in LIVE:
+            self.went[number] = now_ns
         self.suspicions.heed(number, after, now_ns, self._stands_ns(own=False))
         if len(self.changes) < NOTED_MOST:
             self.changes.append(Change(now_ns, number, before, after, incarnation_of(said), cause))
--- a/dykefold/interface.py
+++ b/dykefold/interface.py
@@ -201,7 +201,7 @@
     """What the fleet's view tells; see docs/design/view.md.
 
     Attributes:
-        live: sidecars that carry traffic, this one among them.
+        live: sidecars that carry traffic, or may be about to again, this one among them.
         ranks: by server, the own place among sidecars of the own zone, from 0, below 1; each has another one.
         part: ranks of servers of other zones below this are to be sampled.
         failing: servers that several others gave up on lately.
--- a/tests/fleet/test_priors.py
+++ b/tests/fleet/test_priors.py
@@ -98,6 +98,21 @@
     assert event(view, world.now_ns, {"s-1": 11}) == Fleet(6, {})
 
 
+def test_those_who_went_count_until_they_could_have_been_started_again() -> None:
+    world = whole(12)
+    for number in range(8):
+        world.kill(number)
+    assert world.run(20 * SECOND, world.right)
+    view = world.living[11]
+    assert len(view.live(world.now_ns)) == 4
+    assert event(view, world.now_ns, {}).live == 12
+    world.run(31 * SECOND)
+    assert event(view, world.now_ns, {}).live == 4
+    world.start(0)
+    assert world.run(20 * SECOND, world.right)
+    assert event(view, world.now_ns, {}).live == 5
+
+
 def test_the_newest_list_is_told_once_and_by_whoever_has_it() -> None:
     world = whole(6)
     for member, version in ((0, 7), (1, 9), (2, 8)):
