View: a member that has just begun waits for those who went as well

Seven in ten are restarted, and each of these is told that the others are gone, never having known them alive: it counted 18 of 60. Now whoever is told as gone counts for 30 s, known before or not.

--- a/dykefold/fleet/view.py
+++ b/dykefold/fleet/view.py
@@ -535,7 +535,7 @@
         self.news.add(number)
         if after in LIVE:
             self.went.pop(number, None)
-        elif before in LIVE:
+        elif before in LIVE or before is State.UNKNOWN:  # one that has just begun is told of the gone
             self.went[number] = now_ns
         self.suspicions.heed(number, after, now_ns, self._stands_ns(own=False))
         if len(self.changes) < NOTED_MOST:
--- a/tests/fleet/test_priors.py
+++ b/tests/fleet/test_priors.py
@@ -105,6 +105,11 @@
     assert world.run(20 * SECOND, world.right)
     view = world.living[11]
     assert len(view.live(world.now_ns)) == 4
+    world.kill(10)
+    fresh = world.start(10)
+    assert world.run(20 * SECOND, lambda: fresh.settled)
+    assert len(fresh.live(world.now_ns)) == 4
+    assert event(fresh, world.now_ns, {}).live == 12  # as for those who knew them
     assert event(view, world.now_ns, {}).live == 12
     world.run(31 * SECOND)
     assert event(view, world.now_ns, {}).live == 4
