View: tests of the three doubts of oneself that no test held

Seen: six rules taken out of a copy one by one; three were found at once (words of the gone, the flood's budget, comparing with the gone), three by nothing, each being covered by a second guard in the hard cases: lateness, hearing nobody, hearing the one asked after. Each has a direct test now that goes red.

--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -8,6 +8,7 @@
 
 from dykefold.fleet import datagrams
 from dykefold.fleet.datagrams import Datagram, Kind, Record
+from dykefold.fleet.detector import Probe
 from dykefold.fleet.knowledge import BOUNDS, Topic
 from dykefold.fleet.pace import HEARD_OF_ONE_PER_S, LEAVING_NS, SECOND, Pace
 from dykefold.fleet.view import View
@@ -252,3 +253,38 @@
     assert view.steady(SECOND)
     assert view.live(SECOND) == [0]
     assert not view.out
+
+
+def asked_in_vain(world: Views) -> tuple[View, Probe]:
+    """A member whose question to member 1 had no answer, while somebody else was heard."""
+    view, now = world.living[0], world.now_ns
+    probe = Probe(1, now, now, now + SECOND, helpers=[2], nacks=1)
+    view.last.pop(1, None)
+    view.heard_ns = now + 1
+    return view, probe
+
+
+def test_a_member_suspects_only_where_the_fault_is_not_more_likely_its_own() -> None:
+    view, probe = asked_in_vain(fleet(6, 18))
+    view._unanswered(probe.due_ns, probe)
+    assert view.table.state(1) is State.SUSPECT
+    view, probe = asked_in_vain(fleet(6, 18))
+    view.heard_ns = probe.began_ns - 1  # nobody was heard
+    view._unanswered(probe.due_ns, probe)
+    assert view.table.state(1) is State.ALIVE
+    assert view.health.doubt == 1
+    view, probe = asked_in_vain(fleet(6, 18))
+    view.last[1] = probe.began_ns + 1  # it spoke, if of other things
+    view._unanswered(probe.due_ns, probe)
+    assert view.table.state(1) is State.ALIVE
+
+
+def test_a_process_that_stood_still_forgets_what_it_asked_and_gives_suspicions_more_time() -> None:
+    view, probe = asked_in_vain(fleet(6, 18))
+    view.probes = {7: probe}
+    view._learn(probe.began_ns, 2, word(incarnation_of(view.table.words[2]), State.SUSPECT), "test")
+    due_ns = view.suspicions.due[2]
+    view.tick(view.due_ns + 3 * SECOND)
+    assert view.table.state(1) is State.ALIVE
+    assert view.suspicions.due[2] > due_ns + 3 * SECOND
+    assert view.health.doubt > 1
