--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -14,10 +14,11 @@
 import uvloop
 
 from dykefold.lab.fleet.run import play
-from dykefold.lab.fleet.scenario import FaultTable, FleetScenario, FleetTable
+from dykefold.lab.fleet.scenario import FaultTable, FleetScenario, FleetTable, ListTable
 
 SCENARIOS: dict[str, list[FaultTable]] = {
     "start": [],
+    "half of the servers cold": [],
     "cut in two for 6 s": [FaultTable("cut", at_s=2, for_s=6, of="zone:a")],
     "cut in three for 6 s": [
         FaultTable("cut", at_s=2, for_s=6, of="zone:a"),
@@ -29,9 +30,19 @@
     "a third stopped for 1 s, four times": [FaultTable("stop", at_s=2, for_s=1, share=0.33, times=4)],
     "a zone's servers down for 4 s": [FaultTable("servers", at_s=2, for_s=4, of="zone:a")],
     "the list service down for 4 s": [FaultTable("list", at_s=2, for_s=4)],
+    "the list service moves": [FaultTable("move-list", at_s=2, for_s=1)],
+    "0.7 killed, the list service at a quarter": [
+        FaultTable("slow-list", at_s=2, for_s=8, share=0.25),
+        FaultTable("kill", at_s=3, for_s=1, share=0.7),
+    ],
+    "the list service down for 20 s": [FaultTable("list", at_s=0, for_s=20)],
     "0.3 of the datagrams lost": [FaultTable("loss", at_s=0, for_s=12, share=0.3)],
 }
 SPAN_S = 14.0
+LISTS: dict[str, ListTable] = {
+    "start": ListTable(replaced=0.3),
+    "half of the servers cold": ListTable(replaced=0.5),
+}
 RATE = 300.0  # requests a second to all members together
 
 
@@ -40,7 +51,10 @@
     fleet = FleetTable(members=members, zones=list("abc"), servers=servers, rate=RATE / members, view=view)
     for name in names or SCENARIOS:
         began = time.monotonic()
-        seen = uvloop.run(play(FleetScenario(fleet, faults=SCENARIOS[name], span_s=SPAN_S)))
+        faults = SCENARIOS[name]
+        span_s = max([SPAN_S, *(fault.at_s + fault.for_s + 8.0 for fault in faults)])
+        lists = LISTS.get(name, ListTable())
+        seen = uvloop.run(play(FleetScenario(fleet, lists, faults, span_s=span_s)))
         told = {"scenario": name, "members": members, "took_s": round(time.monotonic() - began, 1)}
         print(json.dumps({**told, **seen.described()}), flush=True)
 
--- a/dykefold/fleet/priors.py
+++ b/dykefold/fleet/priors.py
@@ -74,7 +74,10 @@
     if live == [view.me]:
         # Nobody is heard. Those who can't be may well be there and use the same servers: count on them all.
         return api.Fleet(len(view.addresses), {})
-    zones = [(number, zone_of(view.table.words[number])) for number in live]
+    # Servers too are shared out among those who may be about to come back: else a mass restart would move
+    # what each samples twice within seconds, a connection for each move.
+    expected = view.expected(now_ns)
+    zones = [(number, zone_of(view.table.words[number])) for number in expected]
     by_subject = {subject_of(name): number for name, number in servers.items()}
     placed = ranking.update(list(by_subject), view.zone, zones)
     others, least = set(live) - {view.me}, enough(len(live))
@@ -88,7 +91,7 @@
             if len(said) - sum(said) >= least:
                 failing.add(by_subject[subject])
     ranks = {by_subject[subject]: rank for subject, rank in placed.items()}
-    return api.Fleet(view.expected(now_ns), ranks, part(zones), failing, answering)
+    return api.Fleet(len(expected), ranks, part(zones), failing, answering)
 
 
 def _said(view: View, now_ns: int, subject: int) -> dict[int, bool]:
--- a/dykefold/fleet/view.py
+++ b/dykefold/fleet/view.py
@@ -176,11 +176,10 @@
             if state_of(said) in states or number in older or number == self.me
         ]
 
-    def expected(self, now_ns: int) -> int:
+    def expected(self, now_ns: int) -> list[int]:
         """Members that carry traffic, or went so lately that they may be about to be started again."""
-        live = set(self.live(now_ns))
         lately = {number for number, at_ns in self.went.items() if now_ns - at_ns < RESTART_NS}
-        return len(live | lately)
+        return sorted(lately.union(self.live(now_ns)))
 
     def say(self, now_ns: int, topic: Topic, subject: int, value: int) -> None:
         """Tell the fleet something that this member knows."""
--- a/dykefold/lab/fleet/judge.py
+++ b/dykefold/lab/fleet/judge.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from itertools import pairwise
@@ -16,6 +17,7 @@
 
 SLACK_S = 0.05  # each time limit is longer by that on sockets (PROTOCOL)
 ATTEMPTS_MOST = 3
+COLD_S = 0.5  # over which the load of a cold server is looked at
 
 
 class Arrived(Protocol):
@@ -141,3 +143,24 @@
     for before, after in pairwise(times):
         if after - before > verdict.gap_s:
             verdict.gap_s, verdict.gap_from_s = after - before, before
+
+
+def cold_load(came_s: Sequence[float], started_s: float, full: float, share: float, warm_s: float) -> float:
+    """How near a server that started anew came to being pushed over; 1 is over.
+
+    It falls by N + 3 sqrt(N) + 3 requests of mean work within `COLD_S`, N being what it can do then.
+
+    Args:
+        came_s: of the attempts that reached it, in order.
+        started_s: when it started; long ago for one that was warm all the time.
+        full: requests a second that it can do when warm.
+        share: of that, what it can do at its start; all of it `warm_s` later.
+    """
+    worst, first = 0.0, 0
+    cold = [at_s for at_s in came_s if started_s <= at_s < started_s + warm_s]
+    for last, at_s in enumerate(cold):
+        while cold[first] <= at_s - COLD_S:
+            first += 1
+        able = full * COLD_S * (share + (1.0 - share) * (at_s - started_s) / warm_s)
+        worst = max(worst, (last - first + 1) / (able + 3.0 * math.sqrt(able) + 3.0))
+    return worst
--- a/dykefold/lab/fleet/member.py
+++ b/dykefold/lab/fleet/member.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -24,8 +25,13 @@
     index: int = 0,
     fleet: int = 1,
     peers: bool = False,
+    cold: tuple[float, float] = (1.0, 0.0),
 ) -> dict[str, Any]:
-    """What the platform tells a sidecar of its deployment, in the names of its wire."""
+    """What the platform tells a sidecar of its deployment, in the names of its wire.
+
+    Args:
+        cold: what part of its capacity a server has at its start, and after how many seconds all of it.
+    """
     return {
         "accounts": [],
         "ceilings": {
@@ -58,7 +64,12 @@
         "index": index,
         "discovery": "ask",
         "fleet-size": fleet,
-        "rules": {"must-ask-in-ns": 10_000 * MS, "drain-grace-ns": 500 * MS},
+        "rules": {
+            "must-ask-in-ns": 10_000 * MS,
+            "drain-grace-ns": 500 * MS,
+            "start-capacity": cold[0],
+            "warm-within-ns": int(cold[1] * 1000 * MS),
+        },
         "telemetry": {"columns": ["rps", "cpu"], "how": "piggyback"},
         "tick-ns": 1 * MS,
     }
@@ -129,6 +140,14 @@
         await process.start()
         return process
 
+    def reload(self, **more: Any) -> None:
+        """Change the file, and have the processes that live read it again."""
+        self.data |= more
+        for process in self.living:
+            path = Path(process.environment["GW_CONFIG"])
+            path.write_text(json.dumps({**json.loads(path.read_text()), **more}))
+            process.signal(signal.SIGHUP)
+
     async def begin(self) -> Address:
         """Start the first process; the address that it and all that follow it listen at."""
         address = await (await self.start()).listens()
--- a/dykefold/lab/fleet/network.py
+++ b/dykefold/lab/fleet/network.py
@@ -278,7 +278,7 @@
         self.lines: dict[Line, None] = {}
         self.held: dict[Held, None] = {}
         self.fillers: list[socket.socket] = []
-        self.accepted = 0
+        self.accepted: Counter[int] = Counter()  # connections by second of the loop's time
         self.sock: socket.socket | None = None
         self.starting: set[asyncio.Task[None]] = set()
         self.open()
@@ -304,7 +304,7 @@
             except (BlockingIOError, ConnectionAbortedError):
                 return
             sock.setblocking(False)
-            self.accepted += 1
+            self.accepted[int(self.loop.time())] += 1
             task = self.loop.create_task(self._begin(sock))
             self.starting.add(task)
             task.add_done_callback(self.starting.discard)
--- a/dykefold/lab/fleet/registry.py
+++ b/dykefold/lab/fleet/registry.py
@@ -39,7 +39,8 @@
         self.watchers: dict[Caller, int] = {}
         self.calls: Counter[int] = Counter()  # by second of the loop's time
         self.turned_away = 0
-        self.first_lists: dict[int, list[float]] = {}  # group -> when whole lists were answered
+        self.told: dict[int, list[tuple[float, int]]] = {}  # by member, when it was told which version
+        self.since_s = 0.0  # when it last came to say something new, or to answer again
 
     def change(self, entry: dict[str, Any]) -> None:
         """A server has changed; the list says so some time later."""
@@ -51,6 +52,7 @@
         else:
             self.entries[entry["name"]] = entry
         self.version += 1
+        self.since_s = self.loop.time()
         self.changes.append((self.version, entry))
         del self.changes[:-CHANGES_KEPT]
         for caller, after in list(self.watchers.items()):
@@ -59,10 +61,26 @@
     def fail(self, on: bool) -> None:
         """It is down, or up again: calls are reset, watches end."""
         self.down += 1 if on else -1
+        self.since_s = self.loop.time()
         if self.down:
             for caller in list(self.connections):
                 caller.transport.abort()
 
+    def moved(self) -> None:
+        """The service goes on elsewhere, with an index that begins anew."""
+        self.version = 1
+        self.changes.clear()
+        self.told.clear()
+        self.since_s = self.loop.time()
+
+    def listed(self) -> dict[int, float]:
+        """By member, when it was first told the present version, since its start."""
+        return {
+            member: next(at_s for at_s, version in told if version == self.version)
+            for member, told in self.told.items()
+            if any(version == self.version for _, version in told)
+        }
+
     def came(self, caller: Caller, target: str) -> None:
         """A call: it takes its turn, or is turned away."""
         self.calls[int(self.loop.time())] += 1
@@ -94,6 +112,7 @@
         after = int(query["after"][0])
         if after == self.version:
             self.watchers[caller] = after
+            self._note(caller)
             wait_s = min(int(query.get("wait_ms", ["0"])[0]), 60_000) / 1000
             self.loop.call_later(wait_s, self._tired, caller, after)
         else:
@@ -116,8 +135,13 @@
              "address": entry["addresses"][caller.group]}
             for entry in entries
         ]  # fmt: skip
+        self._note(caller)
         caller.reply(200, json.dumps({"index": self.version, "snapshot": whole, "endpoints": told}).encode())
 
+    def _note(self, caller: Caller) -> None:
+        """From now on this caller has the present list."""
+        self.told.setdefault(caller.member, []).append((self.loop.time(), self.version))
+
     def known(self, group: int) -> dict[str, Any]:
         """The list as a member of a group begins with it."""
         told = [{**entry, "address": entry["addresses"][group]} for entry in self.entries.values()]
@@ -129,8 +153,9 @@
 class Caller(asyncio.Protocol):
     """A connection to the list service, of a member of one group."""
 
-    def __init__(self, registry: Registry, group: int) -> None:
+    def __init__(self, registry: Registry, member: int, group: int) -> None:
         self.registry = registry
+        self.member = member
         self.group = group
         self.parser = httptools.HttpRequestParser(self)
         self.target = b""
--- a/dykefold/lab/fleet/run.py
+++ b/dykefold/lab/fleet/run.py
@@ -7,7 +7,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -17,12 +17,12 @@
 from ..emulator.server import Connection, Server, Truth
 from ..scenario import LoadTable, Scenario, ServerTable
 from .desk import Asked, Desk, End, all_asked
-from .judge import Excuse, Verdict, judge
+from .judge import Excuse, Verdict, cold_load, judge
 from .member import Member, entry, settings
 from .network import PORT, Datagrams, Link, free_block
 from .process import Process, StartError
 from .registry import Caller, Registry
-from .scenario import CLASSES, FaultTable, FleetScenario
+from .scenario import CLASSES, QUICK, FaultTable, FleetScenario
 from .views import Look, Watch
 
 LISTEN_PORT = 7070
@@ -33,6 +33,7 @@
 QUIET_S = 0.3  # after the last request
 TICK_S = 0.02  # between two looks at how late the rig itself is
 LAG_MOST_S = 0.25  # of the rig while it loads; beyond it a run says nothing of those whom it measured
+MOVED_S = 1.5  # that a list service which has moved goes on with what is open
 TERM_S = 2.7  # from SIGTERM to SIGKILL: the longest deadline and 0.7 s
 
 
@@ -45,6 +46,10 @@
         calls: of the list service, by second from the first start.
         turned_away: calls that it had no room for.
         handshakes: connections that members opened to servers.
+        handshakes_worst: ... to the worst server in its worst second.
+        listed_s: of each member that was told the last list, after how long: from its listening, or from the
+            latest change, move, or return of the list service.
+        cold_load: of the worst cold server, in its worst moment, against what pushes it over.
         served: requests by the second of the load in which they were asked, and of these served in time.
         datagrams: that members sent; `datagram_bytes` what was delivered.
         looks: at the members' views, if they keep any.
@@ -65,6 +70,9 @@
     faults: list[str] = field(default_factory=list)  # tracebacks in members' logs
     looks: list[Look] = field(default_factory=list)
     settled_s: float | None = None
+    handshakes_worst: int = 0
+    listed_s: list[float] = field(default_factory=list)
+    cold_load: float = 0.0
 
     @property
     def good(self) -> bool:
@@ -79,6 +87,7 @@
     def described(self) -> dict[str, Any]:
         """As JSON has it."""
         ready = sorted(one for one in self.ready_s if one is not None)
+        listed = sorted(self.listed_s)
         return {
             "valid": self.valid,
             "rig_lag_s": round(self.lag_s, 3),
@@ -94,6 +103,10 @@
             "list_calls_by_second": self.calls,
             "list_calls_turned_away": self.turned_away,
             "handshakes": self.handshakes,
+            "handshakes_worst_server_worst_second": self.handshakes_worst,
+            "listed": len(listed),
+            "listed_s": [round(at, 2) for at in (listed[len(listed) // 2], listed[-1])] if listed else [],
+            "cold_load": round(self.cold_load, 3),
             "datagrams": self.datagrams,
             "datagram_bytes": self.datagram_bytes,
             "view_settled_s": None if self.settled_s is None else round(self.settled_s, 2),
@@ -139,13 +152,13 @@
         self.servers = self._make_servers(block)
         table = scenario.list_service
         self.registry = Registry(table.calls_per_s, table.waiting_most, table.late_s)
-        self.registry_links = [
-            Link(f"127.{block}.{200 + zone}.251", lambda zone=zone: Caller(self.registry, zone))  # type: ignore[misc]
-            for zone in self.zones
-        ]
+        self.registry_links = [self._registry_link(block, number) for number in range(fleet.members)]
+        self.block = block
         for zone in self.zones:
             for server in self.servers[zone]:
                 self.registry.entries[server.name] = self._entry(server, zone, "SERVING", 0)
+        self.first_known = [self.registry.known(zone) for zone in self.zones]
+        self._replace(table.replaced)
         self.datagrams = Datagrams(generator(scenario.seed, "datagrams"))
         hosts = [f"127.{block}.{1 + number // 250}.{1 + number % 250}" for number in range(fleet.members)]
         for host in hosts:
@@ -159,6 +172,7 @@
             desk.address = (host, LISTEN_PORT)
         self.first_s = self.loop.time()
         self.ready_s: list[float | None] = [None] * fleet.members
+        self.listens_s: dict[int, float] = {}  # since when each member's latest process listens
         self.lag_s = 0.0
         self.faults_end_s = 0.0  # since the load began
         self.watch = Watch([(host, VIEW_PORT) for host in hosts], self.up) if fleet.view else None
@@ -192,6 +206,26 @@
             for zone, name in enumerate(fleet.zones)
         ]
 
+    def _registry_link(self, block: int, number: int) -> Link:
+        """Where a member finds the list service; an address for each, so that callers can be told apart."""
+        host = f"127.{block}.{100 + number // 250}.{1 + number % 250}"
+        zone = self.scenario.zone_of(number)
+        return Link(host, lambda: Caller(self.registry, number, zone))
+
+    def _replace(self, share: float) -> None:
+        """This part of the servers came after the first lists were made, for others that have gone."""
+        now_ms = int(time.time() * 1000)
+        for zone in self.zones:
+            for server in self.servers[zone][: round(share * len(self.servers[zone]))]:
+                server.started_s = self.loop.time()
+                self.registry.entries[server.name] = self._entry(server, zone, "SERVING", now_ms)
+                for of, known in enumerate(self.first_known):
+                    gone = f"127.{self.block}.{200 + of}.252:9"  # nobody listens there
+                    for told in known["endpoints"]:
+                        if told["name"] == server.name:
+                            told |= {"name": f"{server.name}-old", "address": gone}
+                    known["index"] = 0
+
     def _entry(self, server: LinkedServer, zone: int, status: str, since_ms: int) -> dict[str, Any]:
         told = entry(server.name, "", self.scenario.fleet.zones[zone], status, since_ms)
         return {**told, "addresses": [link.address for link in server.links]}
@@ -203,14 +237,16 @@
         data = {
             "name": f"m{number}",
             "listen": f"{host}:{LISTEN_PORT}",
-            "discovery": self.registry_links[zone].address,
+            "discovery": self.registry_links[number].address,
             "seed": f"{self.scenario.seed * 1000 + number:016x}",
             "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
             "peer_listen": f"{host}:{PORT}",
             "peers": self.datagrams.addresses(),
             "peers_all": self.datagrams.all_address,
-            "known": self.registry.known(zone),
-            "settings": settings(CLASSES, fleet.zones, zone, number, fleet.members, peers=True),
+            "known": self.first_known[zone],
+            "settings": settings(
+                CLASSES, fleet.zones, zone, number, fleet.members, True, (fleet.cold_share, fleet.warm_s)
+            ),
         }
         if any(fault.kind == "upgrade" for fault in self.scenario.faults):
             data["control"] = f"{host}:{CONTROL_PORT}"
@@ -220,13 +256,15 @@
 
     async def start(self, number: int) -> Process | None:
         """Start a member anew with the list as it is; None if it did not come to listen."""
-        member = self.members[number]
-        known = self.registry.known(self.scenario.zone_of(number))
+        member, zone = self.members[number], self.scenario.zone_of(number)
+        known = self.registry.known(zone) if member.processes else self.first_known[zone]
+        self.registry.told.pop(number, None)
         process = await member.start(known=known, peers=self.datagrams.addresses())
         try:
             await process.listens()
         except StartError:
             return None
+        self.listens_s[number] = self.loop.time()
         if self.ready_s[number] is None:
             self.ready_s[number] = self.loop.time() - self.first_s
         return process
@@ -324,8 +362,17 @@
 
     def _act(self, fault: FaultTable) -> tuple[Any, Any]:
         """What begins a fault, and what ends it."""
+        registry = self.registry
         if fault.kind == "list":
-            return lambda: self.registry.fail(True), lambda: self.registry.fail(False)
+            return lambda: registry.fail(True), lambda: registry.fail(False)
+        if fault.kind == "slow-list":
+            usual = registry.calls_per_s
+            return (
+                lambda: setattr(registry, "calls_per_s", usual * fault.share),
+                lambda: setattr(registry, "calls_per_s", usual),
+            )
+        if fault.kind == "move-list":
+            return self._move_list, lambda: None
         if fault.kind == "servers":
             return lambda: self._servers(fault, True), lambda: self._servers(fault, False)
         if fault.kind == "cut":
@@ -361,6 +408,19 @@
                 ]:
                     (link.cut if on else link.heal)(there, back)
 
+    def _move_list(self) -> None:
+        """The list service has another address; the old one takes nobody, and closes what is open."""
+        old, self.registry_links = (
+            self.registry_links,
+            [self._registry_link(self.block, number) for number in range(len(self.members))],
+        )
+        self.registry.moved()
+        for link in old:
+            link.shut()
+            self.loop.call_later(MOVED_S, link.close)
+        for member, link in zip(self.members, self.registry_links, strict=True):
+            member.reload(discovery=link.address)
+
     def _servers(self, fault: FaultTable, on: bool) -> None:
         for zone in self.scenario.zones_of(fault.of):
             for server in self.servers[zone]:
@@ -425,13 +485,15 @@
         if self.watch is not None:
             self.watch.begin_at(began_s)
             settled_s = self.watch.settled_s(self.faults_end_s)
-        links = [link for zone in self.servers for server in zone for link in server.links]
+        servers = [server for zone in self.servers for server in zone]
+        handshakes = [sum((link.accepted for link in server.links), Counter()) for server in servers]
+        listed = self.registry.listed()
         return Seen(
             verdict,
             self.ready_s,
             [calls[second] for second in range(first, max(calls, default=first) + 1)],
             self.registry.turned_away,
-            sum(link.accepted for link in links),
+            sum(one.total() for one in handshakes),
             [by_second[second] for second in range(seconds)],
             [served[second] for second in range(seconds)],
             sum(self.datagrams.sent.values()),
@@ -446,8 +508,24 @@
             ],
             self.watch.looks if self.watch is not None else [],
             settled_s,
+            handshakes_worst=max((max(one.values(), default=0) for one in handshakes), default=0),
+            listed_s=[
+                max(at_s - max(since_s, self.registry.since_s), 0.0)
+                for number, since_s in self.listens_s.items()
+                if (at_s := listed.get(number)) is not None
+            ],
+            cold_load=max(self._cold_loads(), default=0.0),
         )
 
+    def _cold_loads(self) -> Iterator[float]:
+        """Of each server that was cold, its load against what pushes it over."""
+        fleet = self.scenario.fleet
+        for zone in self.servers:
+            for server in zone:
+                came = [one.came_s for one in self.truth.arrivals.get(server.name, ())]
+                full = fleet.cores / QUICK.mean_ms * 1000
+                yield cold_load(came, server.started_s, full, fleet.cold_share, fleet.warm_s)
+
     async def close(self) -> None:
         """End all that the rig has begun."""
         for task in self.tasks:
--- a/dykefold/lab/fleet/scenario.py
+++ b/dykefold/lab/fleet/scenario.py
@@ -48,6 +48,7 @@
     calls_per_s: Above = 160.0  # that it works through, one after the other
     waiting_most: Positive = 32  # calls that wait their turn
     late_s: NotBelow = 0.3  # until a change is listed
+    replaced: Share = 0.0  # of the servers came, cold, since the members' first lists were made, for others
 
 
 class FaultTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -65,6 +66,8 @@
         "term",
         "upgrade",
         "list",
+        "slow-list",
+        "move-list",
         "servers",
     ]
     at_s: NotBelow
@@ -72,7 +75,7 @@
     of: str = "all"  # cut: the one side; servers: whose zone
     to: str = "all"  # cut and datagrams: the other side; members that are on both are of the first
     one_way: bool = False  # only what goes from `of` to `to` is met
-    share: Share = 1.0  # of the datagrams; of the members, for kill, stop and term
+    share: Share = 1.0  # of the datagrams; of the members, for kill, stop and term; slow-list: of its rate
     late_s: NotBelow = 0.1  # late: on average
     times: Positive = 1  # stop, kill, term: so often, each after as long again
     steps: Positive = 1  # kill, term, upgrade: in so many parts, one after the other
--- a/tests/lab/test_fleet_rig.py
+++ b/tests/lab/test_fleet_rig.py
@@ -10,6 +10,7 @@
 from typer.testing import CliRunner
 
 from dykefold.cli import app
+from dykefold.lab.fleet.judge import cold_load
 from dykefold.lab.fleet.network import Datagrams, Link, free_block
 from dykefold.lab.fleet.registry import Caller, Registry
 from dykefold.lab.fleet.run import play
@@ -118,7 +119,7 @@
 def test_the_list_service_works_in_turn_and_turns_away_what_it_has_no_room_for():
     async def play_it():
         registry = Registry(calls_per_s=50.0, waiting_most=3, late_s=0.0)
-        link = Link("127.0.0.1", lambda: Caller(registry, 0))
+        link = Link("127.0.0.1", lambda: Caller(registry, 0, 0))
 
         async def asked():
             reader, writer = await asyncio.open_connection(link.host, link.port)
@@ -130,11 +131,24 @@
         codes = await asyncio.gather(*(asked() for _ in range(12)))
         assert set(codes) == {200, 503} and registry.turned_away == codes.count(503) >= 6
         await until(lambda: not registry.busy)
+        assert registry.listed().keys() == {0}
+        registry.moved()
+        assert not registry.listed()  # what the old one told counts no longer
         link.close()
 
     run(play_it())
 
 
+def test_a_cold_server_is_judged_by_what_it_can_do_at_that_moment():
+    one_a_ms = [0.001 * number for number in range(1000)]
+    # 100 a second when warm, a quarter of it at first: 12.5 in half a second, and 3 roots and 3 more.
+    early = cold_load(one_a_ms[:26], 0.0, 100.0, 0.25, 4.0)
+    assert 0.95 < early < 1.0 < cold_load(one_a_ms[:28], 0.0, 100.0, 0.25, 4.0)
+    assert cold_load(one_a_ms, -10.0, 100.0, 0.25, 4.0) == 0.0  # it was warm
+    later = [3.0 + at_s for at_s in one_a_ms[:26]]
+    assert cold_load(later, 0.0, 100.0, 0.25, 4.0) < early
+
+
 FAULTS = {
     "cut": FaultTable("cut", at_s=1, for_s=2, of="zone:a"),
     "cut one way": FaultTable("cut", at_s=1, for_s=2, of="zone:a", to="zone:b", one_way=True),
@@ -143,6 +157,8 @@
     "all restarted in turn": FaultTable("term", at_s=0.5, for_s=0.1, steps=3),
     "a zone's servers": FaultTable("servers", at_s=1, for_s=1, of="zone:b"),
     "list": FaultTable("list", at_s=1, for_s=1.5),
+    "list moves": FaultTable("move-list", at_s=1, for_s=1),
+    "list slow": FaultTable("slow-list", at_s=0, for_s=2, share=0.1),
     "datagrams": FaultTable("loss", at_s=0, for_s=3, share=0.3),
 }
 
