Cold start: calls of the list service spread over the fleet, off by default

Need: 200 processes that start together make 591 calls, 259 in one second where the service does 160, 191 turned away, all have the list after 3.05 s; each change of the list ends all watches at once, and each calls again at once. Now (where [fleet] calls = true): one scheduler for first calls, watches, repeats and moves. Slots by own place in a span as long as the fleet's calls take; a longer span after failures, not in an outage; a watch is let go where the span is longer than it may pause; a sign of one that is answered again, and a newer list told by others, are reasons to call, the latter finds watches that have fallen silent.

--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -1,8 +1,8 @@
 """The program under the rig's faults: real processes, a network between them that breaks.
 
-`python -m benchmarks.rig [--view] [MEMBERS [NAME ...]]`: the scenarios of `SCENARIOS` with so many members
-(30), a line of JSON each; with a view, until it has settled again. 200 members want some 6 GB and several
-cores. The load is small: the fleet is looked at.
+`python -m benchmarks.rig [--view] [--calls] [MEMBERS [NAME ...]]`: the scenarios of `SCENARIOS` with so many
+members (30), a line of JSON each; with a view, until it has settled again. 200 members want some 6 GB and
+several cores. The load is small: the fleet is looked at.
 """
 
 from __future__ import annotations
@@ -46,9 +46,10 @@
 RATE = 300.0  # requests a second to all members together
 
 
-def main(members: int, names: list[str], view: bool) -> None:
+def main(members: int, names: list[str], view: bool, calls: bool) -> None:
     servers = max(members // 10, 2)
-    fleet = FleetTable(members=members, zones=list("abc"), servers=servers, rate=RATE / members, view=view)
+    rate = RATE / members
+    fleet = FleetTable(members=members, zones=list("abc"), servers=servers, rate=rate, view=view, calls=calls)
     for name in names or SCENARIOS:
         began = time.monotonic()
         faults = SCENARIOS[name]
@@ -60,5 +61,5 @@
 
 
 if __name__ == "__main__":
-    words = [word for word in sys.argv[1:] if word != "--view"]
-    main(int(words[0]) if words else 30, words[1:], "--view" in sys.argv)
+    words = [word for word in sys.argv[1:] if not word.startswith("--")]
+    main(int(words[0]) if words else 30, words[1:], "--view" in sys.argv, "--calls" in sys.argv)
--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from .fleet.edge import Fleet
+    from .fleet.lists import Lists
     from .operators import Service
     from .routing.plan import Plan
     from .routing.services import Services
@@ -50,6 +51,7 @@
         self.path = path
         self.service = service
         self.fleet: Fleet | None = None
+        self.lists: Lists | None = None
 
     def __call__(self) -> None:
         engine = self.engine
@@ -67,6 +69,8 @@
             engine.peers.turn(config.settings.index, config.peers, config.peers_all)
         if self.fleet is not None:
             self.fleet.renumber(config.peers, config.settings.index)
+        if self.lists is not None and config.settings.must_ask:
+            self.lists.retune(config.settings.must_ask_in_ns)
         if engine.pool.discovery is not None:
             engine.pool.discovery.turn(config.discovery)
 
@@ -80,6 +84,7 @@
         loop.add_signal_handler(number, presence.drain)
     reload = Reload(engine, config, path, service)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    lists = reload.lists = _spread_calls(engine, config)
     fleet = listener = None
     try:
         if not await presence.begin():
@@ -92,6 +97,8 @@
             )
             engine.peers = peers
             fleet = reload.fleet = _keep_view(loop, engine, config, peers)
+        if fleet is not None and lists is not None:
+            fleet.spread(lists)
         if fleet is not None and config.fleet.listen is not None:
             listener = _show_view(loop, fleet, config.fleet.listen)
         address = presence.listen(config.listen)
@@ -100,6 +107,19 @@
     await _until_stopped(engine, config.name, address, presence, fleet)
     if listener is not None:
         listener.close()
+    if lists is not None:
+        lists.close()
+
+
+def _spread_calls(engine: Engine, config: Config) -> Lists | None:
+    """Spread calls of the list service over the fleet, where the operator's file asks for it."""
+    settings, discovery = config.settings, engine.pool.discovery
+    if not (config.fleet.calls and settings.must_ask and discovery is not None):
+        return None
+    from .fleet.lists import Lists  # off by default, and then it costs no memory
+
+    within_ns, rate = settings.must_ask_in_ns, config.fleet.calls_per_s
+    return Lists(discovery, within_ns, rate, settings.index, settings.fleet_size, config.seed)
 
 
 def _keep_view(loop: asyncio.AbstractEventLoop, engine: Engine, config: Config, peers: Peers) -> Fleet | None:
@@ -212,9 +232,9 @@
     if len(sys.argv) == 3 and sys.argv[1] == "check":
         return check(sys.argv[2])
     serves = len(sys.argv) == 3 and sys.argv[1] == "serve"
-    views = sys.argv[1:] == ["view"]  # the fleet's view without an operator's file
-    if len(sys.argv) > 1 and not serves and not views:
-        print("usage: python -m dykefold [view | check FILE | serve FILE]", file=sys.stderr)
+    parts = sys.argv[1:]  # of what stands in [fleet], on without an operator's file
+    if parts and not serves and not set(parts) <= {"view", "calls"}:
+        print("usage: python -m dykefold [[view] [calls] | check FILE | serve FILE]", file=sys.stderr)
         return 2
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     # Guards the start and the end, when no loop listens: the signal's default would end the process.
@@ -225,8 +245,8 @@
             serve_file(sys.argv[2])
             return 0
         config = read_config(path, service)
-        if views:
-            config.fleet = replace(config.fleet, view=True)
+        if parts:
+            config.fleet = replace(config.fleet, view="view" in parts, calls="calls" in parts)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(run(config, path, service))
             signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/dykefold/fleet/edge.py
+++ b/dykefold/fleet/edge.py
@@ -18,6 +18,7 @@
 from . import priors
 from .coverage import Ranking
 from .datagrams import is_ours
+from .lists import Lists
 from .pace import RESTART_NS, SECOND, Bucket, Pace
 from .view import Change, View
 from .words import State, incarnation_of, state_of, zone_of
@@ -86,6 +87,7 @@
         self.lines = Bucket(LINES_PER_S, LINES_PER_S, now_ns)
         self.unsaid = 0
         self.pool: Pool | None = None  # whose module hears of the fleet
+        self.lists: Lists | None = None  # when the list service is called, where that goes by the view
         self.known = (0, 0)  # of its servers, so that new ones are seen
         self.telling: asyncio.TimerHandle | None = None
         self.listing: asyncio.TimerHandle | None = None
@@ -98,6 +100,11 @@
         self.pool = pool
         pool.hinted = self._found
 
+    def spread(self, lists: Lists) -> None:
+        """Have calls of the list service go by what the view says from now on."""
+        self.lists = lists
+        lists.join(self.view)
+
     def _found(self, server: int, answers: bool) -> None:
         assert self.pool is not None
         for name, number in self.pool.names.servers.items():
@@ -171,6 +178,8 @@
             self._tell_soon()
         if view.learned:
             view.learned = False
+            if self.lists is not None:
+                self.lists.heard()
             self._tell_soon()
 
     def _say_list(self) -> None:
@@ -178,7 +187,7 @@
         self.listing = None
         if self.pool is not None and self.pool.discovery is not None and not self.closed:
             now_ns = self.system.monotonic_ns()
-            priors.say_list(self.view, now_ns, self.pool.discovery.host, self.pool.version)
+            priors.say_list(self.view, now_ns, self.pool.version)
 
     def _tell_soon(self) -> None:
         if self.telling is None and self.pool is not None and not self.closed:
@@ -188,6 +197,8 @@
         self.telling = None
         now_ns = self.system.monotonic_ns()
         if self.pool is not None and self.view.steady(now_ns):
+            if self.lists is not None:
+                self.lists.count()
             self.pool.post(priors.event(self.view, now_ns, self.pool.named(), self.ranking))
             if self.view.went and self.recount is None:
                 self.recount = self.loop.call_later(RESTART_NS / SECOND, self._count_again)
@@ -219,7 +230,7 @@
         """The version of the own list of servers, and the newest that anybody tells."""
         if self.pool is None or self.pool.discovery is None:
             return {"own": None, "newest": None}
-        newest = priors.newest_list(self.view, now_ns, self.pool.discovery.host)
+        newest = priors.newest_list(self.view, now_ns)
         return {"own": self.pool.version, "newest": newest}
 
     def in_full(self) -> dict[str, Any]:
--- a/dykefold/fleet/knowledge.py
+++ b/dykefold/fleet/knowledge.py
@@ -24,9 +24,10 @@
 class Topic(IntEnum):
     """What a record is about."""
 
-    LIST = 2  # subject: a discovery; value: the newest version of its list seen, modulo 2^32
+    LIST = 2  # subject: none; value: the newest version of the list seen, modulo 2^32
     FAILS = 3  # subject: a server that its origin has ejected, or found silent again
     ANSWERS = 4  # subject: a server that answered its origin after that
+    CALLS = 5  # subject: none; value: over how many ms calls of the list service go; and whether it answers
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +49,7 @@
     Topic.LIST: Bound(60 * SECOND, 1, 1000),
     Topic.FAILS: Bound(10 * SECOND, 8, 5),
     Topic.ANSWERS: Bound(10 * SECOND, 8, 5),
+    Topic.CALLS: Bound(10 * SECOND, 1, 5),
 }
 TELLS = 3  # of each record by each member: reaches most of the fleet, and a hint need not reach all
 
@@ -146,9 +148,9 @@
         """What records of these topics are kept on."""
         return {subject for topic in topics for subject in self.on[topic]}
 
-    def about(self, now_ns: int, topic: Topic, subject: int) -> Iterator[Record]:
-        """Each record on a subject that still says something."""
+    def about(self, now_ns: int, topic: Topic, subject: int) -> Iterator[tuple[Record, int]]:
+        """Each record on a subject that still says something, and when its origin said it."""
         for origin in self.on[topic].get(subject, ()):
             record, said_ns = self.records[topic, origin, subject]
             if now_ns - said_ns < BOUNDS[topic].lasts_ns:
-                yield record
+                yield record, said_ns
--- a/dykefold/fleet/priors.py
+++ b/dykefold/fleet/priors.py
@@ -18,6 +18,8 @@
 SAID_BY = 3  # others that must have found the same: two may share a fault, such as a cut of their own ...
 SAID_LEAST = 2  # ... of a fleet so small that three would be most of it
 LIST_SPAN = 1 << 32  # versions are told modulo this
+NO_SUBJECT = 0  # of what is about the fleet's one list service
+MS = 1_000_000
 
 
 def subject_of(name: str) -> int:
@@ -50,17 +52,38 @@
     return True
 
 
-def say_list(view: View, now_ns: int, discovery: str, version: int) -> None:
-    """Tell the version of the own list, if nobody is known to have a newer one of the same discovery."""
-    newest = newest_list(view, now_ns, discovery)
+def say_list(view: View, now_ns: int, version: int) -> None:
+    """Tell the version of the own list, if nobody is known to have a newer one."""
+    newest = newest_list(view, now_ns)
     if newest is None or version % LIST_SPAN > newest:
-        view.say(now_ns, Topic.LIST, subject_of(discovery), version % LIST_SPAN)
+        view.say(now_ns, Topic.LIST, NO_SUBJECT, version % LIST_SPAN)
 
 
-def newest_list(view: View, now_ns: int, discovery: str) -> int | None:
-    """The newest version that is told; None where none is."""
-    subject = subject_of(discovery)
-    return max((record.value for record in view.knowledge.about(now_ns, Topic.LIST, subject)), default=None)
+def newest_list(view: View, now_ns: int) -> int | None:
+    """The newest version that is told; None where none is.
+
+    Where the list service moves its versions begin anew, and for as long as a record lasts this may be one of
+    the old service's: a reason to ask that the answer does not bear out, which costs a call.
+    """
+    told = (record.value for record, _ in view.knowledge.about(now_ns, Topic.LIST, NO_SUBJECT))
+    return max(told, default=None)
+
+
+def say_calls(view: View, now_ns: int, spread_ns: int, answers: bool) -> None:
+    """Tell over which time calls of the list service had better go, and whether it answers this member."""
+    view.say(now_ns, Topic.CALLS, NO_SUBJECT, spread_ns // MS << 1 | answers)
+
+
+def calls_told(view: View, now_ns: int) -> tuple[list[int], int | None]:
+    """The spans that other live members tell, nanoseconds, and when one of them was answered last."""
+    spans, answered_ns = [], None
+    live = set(view.live(now_ns))
+    for record, said_ns in view.knowledge.about(now_ns, Topic.CALLS, NO_SUBJECT):
+        if record.origin != view.me and record.origin in live:
+            spans.append((record.value >> 1) * MS)
+            if record.value & 1:
+                answered_ns = max(said_ns, answered_ns or 0)
+    return spans, answered_ns
 
 
 def event(view: View, now_ns: int, servers: Mapping[str, int], ranking: Ranking) -> api.Fleet:
@@ -98,7 +121,7 @@
     """By origin, whether its latest word on a server is an answer of it, or that it was given up on."""
     latest: dict[int, tuple[tuple[int, int], bool]] = {}
     for topic in (Topic.FAILS, Topic.ANSWERS):
-        for record in view.knowledge.about(now_ns, topic, subject):
+        for record, _ in view.knowledge.about(now_ns, topic, subject):
             said = (record.incarnation, record.sequence), topic is Topic.ANSWERS
             latest[record.origin] = max(latest.get(record.origin, said), said)
     return {origin: answers for origin, (_, answers) in latest.items()}
--- a/dykefold/lab/fleet/member.py
+++ b/dykefold/lab/fleet/member.py
@@ -92,16 +92,16 @@
 class Member:
     """One sidecar, whichever of its processes lives."""
 
-    def __init__(self, number: int, folder: Path, data: dict[str, Any], view: str | None = None) -> None:
+    def __init__(self, number: int, folder: Path, data: dict[str, Any], service: str | None = None) -> None:
         """Prepare.
 
         Args:
             folder: of its own, which exists.
             data: its configuration; `listen` is kept from the first process on.
-            view: address at which it tells its view of the fleet; None for one that keeps none.
+            service: text of the operator's file; None for none.
         """
         self.number = number
-        self.view = view
+        self.service = service
         self.folder = folder
         self.data = data
         self.processes: list[Process] = []
@@ -122,9 +122,9 @@
         """Have the next process ready to start at once."""
         if self.spare is None:
             environment = {"GW_CONFIG": str(self._path), "TMPDIR": str(self.folder / "tmp")}
-            if self.view is not None:
+            if self.service is not None:
                 service = self.folder / "service.toml"
-                service.write_text(f'[fleet]\nview = true\nlisten = "{self.view}"\n')
+                service.write_text(self.service)
                 environment["DYKEFOLD_SERVICE"] = str(service)
             descriptors = self.data["limits"]["sockets"] + DESCRIPTORS_APART
             self.spare = Process(environment, descriptors, self.clock_s)
--- a/dykefold/lab/fleet/run.py
+++ b/dykefold/lab/fleet/run.py
@@ -250,7 +250,10 @@
         }
         if any(fault.kind == "upgrade" for fault in self.scenario.faults):
             data["control"] = f"{host}:{CONTROL_PORT}"
-        return Member(number, own, data, f"{host}:{VIEW_PORT}" if fleet.view else None)
+        parts = [f'view = true\nlisten = "{host}:{VIEW_PORT}"'] if fleet.view else []
+        if fleet.calls:
+            parts.append("calls = true")
+        return Member(number, own, data, "\n".join(["[fleet]", *parts]) if parts else None)
 
     # Members
 
--- a/dykefold/lab/fleet/scenario.py
+++ b/dykefold/lab/fleet/scenario.py
@@ -40,6 +40,7 @@
     memory_mb: Positive = 80  # that a member is told
     sockets: Positive = 384
     view: bool = False  # whether members keep a view of the fleet (docs/operators/view.md)
+    calls: bool = False  # whether they spread their calls of the list service (docs/operators/coldstart.md)
 
 
 class ListTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 from ..admission.budget import CALLS, Allowance
 from ..interface import Endpoint, ListKind, Membership, State, Status
@@ -159,6 +159,26 @@
     return listed, str(entry.get("zone", "")), str(entry.get("type", ""))
 
 
+class Schedule(Protocol):
+    """Says when calls may go out, and hears what became of them; seconds from now."""
+
+    def opens_s(self) -> float:
+        """Until a watch may be opened."""
+        ...
+
+    def goes_on_s(self) -> float:
+        """Until the next call of a watch, after an answer."""
+        ...
+
+    def called(self) -> None: ...
+
+    def answered(self) -> None: ...
+
+    def failed(self) -> None: ...
+
+    def moved(self) -> None: ...
+
+
 class Discovery:
     """Watches and fetches when told to; any failure is news of its own and ends no watcher for good."""
 
@@ -184,6 +204,8 @@
         self.called = 0.0
         self.failing = False
         self.closed = False
+        self.schedule: Schedule | None = None  # None: each call as soon as it is wanted
+        self.watch_call: Exchange | None = None
         self._connect(address)
 
     def _connect(self, address: tuple[str, int]) -> None:
@@ -209,6 +231,8 @@
         old.close()
         self.version = None
         self.watching = False
+        if self.schedule is not None:
+            self.schedule.moved()
         self.watch(True)
 
     def adopt(self, version: int) -> None:
@@ -222,6 +246,22 @@
         self.watching = on
         self.round += 1
         if on:
+            self._next_in(self.schedule.opens_s() if self.schedule is not None else 0.0)
+
+    def ask_now(self) -> None:
+        """Begin a watch at once, in the place of one that is open or that is waited for."""
+        if self.closed:
+            return
+        self.watching = True
+        self.round += 1
+        if self.watch_call is not None:
+            self.watch_call.give_up(Status.CANCELLED)
+        self._next_watch(self.round)
+
+    def _next_in(self, wait_s: float) -> None:
+        if wait_s > 0.0:
+            self.loop.call_later(wait_s, self._next_watch, self.round)
+        else:
             self._next_watch(self.round)
 
     def fetch(self) -> None:
@@ -235,9 +275,9 @@
         if self.version is not None:
             target += f"?after={self.version}&wait_ms={WATCH_MS}"
             within += WATCH_MS / 1000
-        self._call(target, within, partial(self._watched, number))
+        self.watch_call = self._call(target, within, partial(self._watched, number))
 
-    def _call(self, target: str, within: float, done: Callable[[News | None, str], None]) -> None:
+    def _call(self, target: str, within: float, done: Callable[[News | None, str], None]) -> Exchange:
         payload = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
         calls, taken = self.calls, self.taken
 
@@ -254,7 +294,11 @@
                 reason = f"answer {answer.code}"
             done(news, reason)
 
-        calls.start(DISCOVERY, Exchange(payload, ended, LIST_MOST), within)
+        if self.schedule is not None:
+            self.schedule.called()
+        exchange = Exchange(payload, ended, LIST_MOST)
+        calls.start(DISCOVERY, exchange, within)
+        return exchange
 
     def _in_order(self, news: News, taken: int) -> News:
         """Guards the list against answers that come after a newer one to a later call."""
@@ -283,10 +327,10 @@
             if news is not None:
                 # Guards against asking an agent in a tight loop; a pause within 200 ms ends no watch.
                 pause = 0.0 if news.entries else CALLS_APART - (self.system.monotonic() - self.called)
-                if pause > 0.0:
-                    self.loop.call_later(pause, self._next_watch, number)
-                else:
-                    self._next_watch(number)
+                if self.schedule is not None:
+                    pause = max(pause, self.schedule.goes_on_s())
+                if number == self.round:
+                    self._next_in(pause)
 
     def _fetched(self, news: News | None, reason: str) -> None:
         self._note(news, reason)
@@ -294,6 +338,11 @@
 
     def _note(self, news: News | None, reason: str) -> None:
         """Log the first failure and the recovery: an outage lasts, and what it says does not change."""
+        if self.schedule is not None:
+            if news is None:
+                self.schedule.failed()
+            else:
+                self.schedule.answered()
         if self.failing != (news is None):
             self.failing = news is None
             if self.failing:
--- a/dykefold/operators.py
+++ b/dykefold/operators.py
@@ -15,7 +15,7 @@
 from msgspec import Meta
 
 from .admission.addresses import Caps
-from .fleet.options import Options
+from .fleet.options import CALLS_PER_S, Options
 from .net.discovery import split_address
 from .routing.config import read_plan, struct_problems
 from .routing.plan import Plan
@@ -77,6 +77,8 @@
 
     view: bool = False
     listen: str | None = None
+    calls: bool = False
+    calls_per_s: Annotated[float, Meta(gt=0)] = CALLS_PER_S
 
 
 class ServiceError(Exception):
@@ -157,7 +159,7 @@
         plan,
         _address(read.listen),
         read.folder,
-        Options(view.view, _address(view.listen)),
+        Options(view.view, _address(view.listen), view.calls, view.calls_per_s),
     )
 
 
--- /dev/null
+++ b/tests/fleet/test_asking.py
@@ -0,0 +1,121 @@
+"""When a sidecar calls the list service: slots, spans that follow the answers, hurry and doubt."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dykefold.fleet.asking import GO_ON_NS, MOVED_MOST_NS, SILENT_NS, SPREAD_MOST, Asking
+from dykefold.fleet.pace import SECOND
+
+MUST_NS = 10 * SECOND
+MOST_NS = int(MUST_NS * SPREAD_MOST)
+
+
+def fleet_of(size: int) -> list[Asking]:
+    return [Asking(MUST_NS, 125.0, place, size, random.Random(place), 0) for place in range(size)]
+
+
+def worst(times_ns: list[int], within_ns: int = SECOND // 4) -> int:
+    """The most calls in any such time."""
+    return max(sum(at <= other < at + within_ns for other in times_ns) for at in times_ns)
+
+
+def test_a_fleet_that_starts_or_hears_of_one_change_calls_evenly_at_the_rate() -> None:
+    members = fleet_of(200)
+    first = [one.opens_ns(0, 1, behind=False) for one in members]
+    assert max(first) < 1.6 * SECOND
+    assert worst(first) <= 0.25 * 125 + 3
+    for one in members:
+        one.called(10 * SECOND)
+    again = [one.goes_on_ns(20 * SECOND, 2) for one in members]
+    assert 20 * SECOND <= min(again) < max(again) < 21.6 * SECOND
+    assert worst(again) <= 0.25 * 125 + 3
+    assert first.index(max(first)) != again.index(max(again))  # the same one is not always last
+
+
+def test_changes_in_a_row_cost_a_call_in_a_span_and_small_fleets_watch_on() -> None:
+    (one, *_) = fleet_of(200)
+    now, calls = 0, []
+    for version in range(100):
+        now = one.goes_on_ns(now, version)  # each call finds something new
+        one.called(now)
+        calls.append(now)
+    assert calls[-1] - calls[0] >= 98 * 1.6 * SECOND
+    (few, *_) = fleet_of(15)
+    few.called(0)
+    assert few.spread_ns(0) <= GO_ON_NS
+    assert few.goes_on_ns(5, 1) == 5
+
+
+def test_the_span_doubles_where_some_are_answered_and_in_an_outage_only_once() -> None:
+    (one, *_) = fleet_of(100)
+    usual = one.spread_ns(0)
+    assert one.failed(0)
+    assert one.spread_ns(0) == 2 * usual
+    for at in range(1, 20):
+        assert not one.failed(at * SECOND)
+    assert one.spread_ns(20 * SECOND) == 2 * usual
+    assert one.was_answered()  # news to others
+    assert not one.was_answered()
+    assert one.failed(20 * SECOND)
+    assert one.spread_ns(20 * SECOND) == 4 * usual
+    one.was_answered()
+    assert usual <= one.spread_ns(60 * SECOND) < 1.1 * usual  # and comes down again
+
+
+@given(st.lists(st.tuples(st.sampled_from(("fails", "answered", "moves", "told")), st.integers(0, 5))))
+def test_no_wait_is_ever_longer_than_the_rules_leave(steps: list[tuple[str, int]]) -> None:
+    one = Asking(MUST_NS, 1.0, 3, 1000, random.Random(1), 0)
+    now = 0
+    for what, seconds in steps:
+        now += seconds * SECOND
+        if what == "fails":
+            one.failed(now)
+        elif what == "answered":
+            one.was_answered()
+        elif what == "moves":
+            one.moves(now)
+            assert one.opens_ns(now, 0, behind=False) - now <= MOVED_MOST_NS
+        else:
+            one.take_spread([1 << 60] * 4)
+        one.called(now)
+        assert now <= one.opens_ns(now, 7, behind=False) <= now + MOST_NS
+        assert now <= one.goes_on_ns(now, 7) <= now + MOST_NS
+
+
+@pytest.mark.parametrize(("told", "third"), [([], 0), ([9, 9], 0), ([9, 8, 7], 7), ([1, 9, 9, 5], 5)])
+def test_a_span_that_others_tell_counts_where_three_say_so(told: list[int], third: int) -> None:
+    (one, *_) = fleet_of(2)
+    usual = one.spread_ns(0)
+    one.take_spread([span * SECOND // 4 for span in told])
+    assert one.spread_ns(0) == max(usual, third * SECOND // 4)
+
+
+def test_who_waits_out_an_outage_calls_when_another_is_answered_and_all_come_back_spread() -> None:
+    members = fleet_of(200)
+    assert members[0].hurries_ns(SECOND, 1) is None  # it has nothing to wait for
+    for one in members:
+        one.failed(5 * SECOND)
+    back = [one.hurries_ns(12 * SECOND, 1) for one in members]
+    times = [at for at in back if at is not None]
+    assert len(times) == 200
+    assert 12 * SECOND <= min(times) < max(times) <= 15.2 * SECOND
+    assert worst(times) <= 0.25 * 125
+
+
+def test_a_newer_list_elsewhere_is_a_reason_to_doubt_an_open_watch_and_only_once() -> None:
+    (one, *_) = fleet_of(40)
+    assert one.doubts_ns(0, 7, 7) is None
+    due = one.doubts_ns(0, 7, 8)
+    assert due is not None
+    assert SILENT_NS <= due <= SILENT_NS + one.spread_ns(0)
+    one.refute(8)
+    assert one.doubts_ns(due, 7, 8) is None  # the service did not have it
+    assert one.doubts_ns(due, 7, 9) is not None
+    one.failed(due)
+    assert one.doubts_ns(due, 7, 9) is None  # it waits for the service already
+    assert one.opens_ns(due, 7, behind=True) - due <= one.spread_ns(due) // 2
--- a/tests/fleet/test_priors.py
+++ b/tests/fleet/test_priors.py
@@ -10,7 +10,8 @@
 
 from dykefold.fleet import priors
 from dykefold.fleet.coverage import KNOWN_BY, PAIRS_MOST, Ranking, part
-from dykefold.fleet.priors import enough, newest_list, say_found, say_list, subject_of
+from dykefold.fleet.knowledge import Topic
+from dykefold.fleet.priors import NO_SUBJECT, enough, newest_list, say_found, say_list
 from dykefold.fleet.view import View
 from dykefold.interface import Fleet, Hint, Outcome, Status
 from dykefold.sim.views import Views
@@ -137,11 +138,10 @@
 def test_the_newest_list_is_told_once_and_by_whoever_has_it() -> None:
     world = whole(6)
     for member, version in ((0, 7), (1, 9), (2, 8)):
-        say_list(world.living[member], world.now_ns, "disco", version)
+        say_list(world.living[member], world.now_ns, version)
         world.run(SECOND)
-    assert newest_list(world.living[5], world.now_ns, "disco") == 9
-    assert (2, 2, subject_of("disco")) not in world.living[5].knowledge.records
-    assert newest_list(world.living[5], world.now_ns, "other") is None
+    assert newest_list(world.living[5], world.now_ns) == 9
+    assert (Topic.LIST, 2, NO_SUBJECT) not in world.living[5].knowledge.records
 
 
 def test_the_module_ejects_at_one_failure_of_its_own_what_several_found_to_fail() -> None:
