--- a/dykefold/fleet/asking.py
+++ b/dykefold/fleet/asking.py
@@ -22,7 +22,7 @@
 SLOWER = 2.0  # times the span after a failure, if any call of the fleet was answered since the last such
 SLOWER_MOST = 64.0
 FASTER_NS = 5 * SECOND  # without a failure, in which what the span was stretched by comes down to half
-SILENT_NS = SECOND // 2  # a watch that others have news before for so long has fallen silent
+SILENT_NS = 2 * SECOND  # a call that others have news before for so long is taken for silent: rules say 6 s
 
 
 class Asking:
@@ -104,22 +104,18 @@
         place = (self.place + mix(0, version + 1) % self.fleet) % self.fleet
         return (place + self.chance.random()) / self.fleet
 
-    def opens_ns(self, now_ns: int, version: int, behind: bool) -> int:
-        """When a watch may be opened that is not open; not before now.
-
-        Args:
-            version: of the own list; 0 for none.
-            behind: others have told of a newer one: who knows least goes first.
-        """
+    def opens_ns(self, now_ns: int, version: int) -> int:
+        """When a watch may be opened that is not open; not before now. `version` is of the own list, or 0."""
         # Of those who were turned away together each draws anew, or the same ones would meet again.
         part = self.chance.random() if self.failed_ns is not None else self._slot(version)
-        return max(now_ns, self.from_ns + int(self.spread_ns(now_ns) * part * (0.5 if behind else 1.0)))
+        return max(now_ns, self.from_ns + int(self.spread_ns(now_ns) * part))
 
     def goes_on_ns(self, now_ns: int, version: int) -> int:
         """When the next call of a watch is due after an answer.
 
         Where a span is longer than a watch may pause, the watch is let go, and the list asked for once in a
-        span at the most: so many changes in a row cost no more calls than one.
+        span at the most: many changes in a row cost no more calls than one, and who has just been told goes
+        behind those who have not.
         """
         spread = self.spread_ns(now_ns)
         if spread <= GO_ON_NS:
@@ -136,14 +132,14 @@
         return now_ns + int(self.spread_ns(now_ns) * self._slot(version))
 
     def doubts_ns(self, now_ns: int, version: int, newest: int) -> int | None:
-        """Others tell of a newer list while the own watch is open: when to open it anew, if nothing comes.
+        """Others tell of a newer list while a call of one's own is open: when to make it anew, if none comes.
 
         Guards against a watch that has fallen silent, which nothing else tells before its wait is over. A
         version that was told and that the service does not have is no reason twice.
         """
         if newest <= max(version, self.refuted) or self.failed_ns is not None:
             return None
-        return now_ns + SILENT_NS + int(self.spread_ns(now_ns) * self._slot(newest) * 0.5)
+        return now_ns + SILENT_NS + int(self.spread_ns(now_ns) * self._slot(newest))
 
     def refute(self, newest: int) -> None:
         """It is asked for because of this version, which counts as told of from now on."""
--- a/dykefold/fleet/lists.py
+++ b/dykefold/fleet/lists.py
@@ -40,6 +40,7 @@
         )
         self.view: View | None = None
         self.later: asyncio.TimerHandle | None = None  # a call for what others told
+        self.calling = False  # a call is open
         discovery.schedule = self
 
     @property
@@ -50,9 +51,7 @@
 
     def opens_s(self) -> float:
         now_ns = self.system.monotonic_ns()
-        newest = self._newest(now_ns)
-        behind = newest is not None and newest > self.version
-        return (self.asking.opens_ns(now_ns, self.version, behind) - now_ns) / SECOND
+        return (self.asking.opens_ns(now_ns, self.version) - now_ns) / SECOND
 
     def goes_on_s(self) -> float:
         now_ns = self.system.monotonic_ns()
@@ -60,19 +59,23 @@
 
     def called(self) -> None:
         self.asking.called(self.system.monotonic_ns())
+        self.calling = True
         self._drop_later()
 
     def answered(self) -> None:
+        self.calling = False
         if self.asking.was_answered():
             self._say()  # others may wait for a sign that it is back
 
     def failed(self) -> None:
+        self.calling = False
         if self.asking.failed(self.system.monotonic_ns()):
             self._say()
 
     def moved(self) -> None:
         now_ns = self.system.monotonic_ns()
         self._drop_later()
+        self.calling = False
         self.asking.moves(now_ns)
         newest = self._newest(now_ns)
         if newest is not None:
@@ -87,8 +90,8 @@
     def count(self) -> None:
         """Who is there may have changed."""
         if self.view is not None:
-            live = self.view.expected(self.system.monotonic_ns())
-            self.asking.take_fleet(live.index(self.view.me), len(live))
+            callers = self.view.callers(self.system.monotonic_ns())
+            self.asking.take_fleet(callers.index(self.view.me), len(callers))
 
     def retune(self, must_ask_ns: int) -> None:
         """Take another time within which the rules want a call."""
@@ -105,7 +108,7 @@
         failed_ns = self.asking.failed_ns
         if failed_ns is not None and answered_ns is not None and answered_ns > failed_ns:
             due_ns = self.asking.hurries_ns(now_ns, self.version)
-        elif self.later is None and (newest := self._newest(now_ns)) is not None and self.discovery.watching:
+        elif self.later is None and self.calling and (newest := self._newest(now_ns)) is not None:
             due_ns = self.asking.doubts_ns(now_ns, self.version, newest)
         if due_ns is not None and self.later is None:
             wait_s = (due_ns - now_ns) / SECOND
--- a/dykefold/fleet/view.py
+++ b/dykefold/fleet/view.py
@@ -186,6 +186,11 @@
         lately = {number for number, at_ns in self.went.items() if now_ns - at_ns < RESTART_NS}
         return sorted(lately.union(self.live(now_ns)))
 
+    def callers(self, now_ns: int) -> list[int]:
+        """Members that may call what all of them call: those not heard of yet may be about to begin."""
+        may = {number for number in range(len(self.table)) if self.table.state(number) is State.UNKNOWN}
+        return sorted(may.union(self.expected(now_ns)))
+
     def say(self, now_ns: int, topic: Topic, subject: int, value: int) -> None:
         """Tell the fleet something that this member knows."""
         self.knowledge.say(now_ns, self.incarnation, topic, subject, value)
--- a/dykefold/sim/process.py
+++ b/dykefold/sim/process.py
@@ -8,6 +8,8 @@
 from ..admission.addresses import Caps
 from ..control.upgrade import Upgrade
 from ..fleet.edge import Fleet
+from ..fleet.lists import Lists
+from ..fleet.options import CALLS_PER_S
 from ..net.discovery import Names, read_news
 from ..net.engine import Engine
 from ..net.limits import MB
@@ -158,6 +160,13 @@
                     self.loop, engine, made, peers, self.number, settings.zone, 0.0, self.seed, self.system
                 )
                 self.fleet.serve(engine.pool)
+        if WORLDS[self.run.scenario.world].calls and engine.pool.discovery is not None:
+            within_ns, size = settings.must_ask_in_ns, settings.fleet_size
+            lists = Lists(
+                engine.pool.discovery, within_ns, CALLS_PER_S, self.number, size, self.seed, self.system
+            )
+            if self.fleet is not None:
+                self.fleet.spread(lists)
 
     # Signals
 
--- a/dykefold/sim/registry.py
+++ b/dykefold/sim/registry.py
@@ -93,6 +93,7 @@
 
     def fail(self, on: bool) -> None:
         self.down += 1 if on else -1
+        self.run.registry_turned()
         if self.down:
             for connection in list(self.connections):
                 connection.transport.abort()
@@ -119,11 +120,14 @@
     def asked(self, connection: RegistryConnection, target: str) -> None:
         self.calls += 1
         if self.down:
+            self.run.asked(connection.sidecar, failed=True)
             if self.random.random() < 0.5:
                 connection.transport.abort()
             return
         if self.overbooked and self._spoil(connection):
+            self.run.asked(connection.sidecar, failed=True)
             return
+        self.run.asked(connection.sidecar)
         query = parse_qs(urlsplit(target).query)
         if "after" not in query:
             self._answer(connection, None)
@@ -142,6 +146,7 @@
 
     def _answer(self, connection: RegistryConnection, after: int | None) -> None:
         self.watchers.pop(connection, None)
+        self.run.asked(connection.sidecar)  # until now it watched
         if not connection.open or connection.transport.is_closing():
             return
         oldest = self.changes[0][0] - 1 if self.changes else self.version
--- a/dykefold/sim/schedule.py
+++ b/dykefold/sim/schedule.py
@@ -142,6 +142,7 @@
         zones: their names, a letter each; servers stand in them in turn.
         spread: sidecars stand in them in turn too, not all in the first.
         view: sidecars keep a view of their fleet, and the run goes on until it must have settled.
+        calls: they spread their calls of the list service.
         ahead: of the requests are sent ahead of an answer, on a connection that waits for one.
     """
 
@@ -157,6 +158,7 @@
     zones: str = "ab"
     spread: bool = False
     view: bool = False
+    calls: bool = False
 
 
 PLATFORM = tuple(kind for kind in Kind if kind not in OF_FLEETS | OF_UPGRADES)
@@ -187,6 +189,12 @@
         (*[Kind.PART] * 2, Kind.HERD, Kind.KILL, Kind.TERM, Kind.PAUSE, Kind.ZONE, Kind.SILENT),
         (1000, 800, 1200), (0.5, 0.28, 0.22), zones="abc", spread=True, view=True,
     ),
+    "coldstart": World(
+        30, 25, 4.0, 0.8,
+        (*[Kind.HERD] * 2, Kind.OVERBOOK, Kind.DISCOVERY, Kind.MOVE, Kind.TERM, Kind.ZONE, Kind.REPLACE,
+         Kind.PART, Kind.STALE),
+        (1000, 800, 1200), (0.5, 0.28, 0.22), zones="abc", spread=True, view=True, calls=True,
+    ),
 }  # fmt: skip
 
 
--- a/dykefold/sim/world.py
+++ b/dykefold/sim/world.py
@@ -25,6 +25,8 @@
 from .wire import Wire
 
 QUIET_NS = 9 * SECOND  # after the last request: every fault ends, every deadline and idle connection passes
+FAILED_TIMES = 4  # as long after a call that failed, a sidecar may go by the list that it has
+ASK_SLACK_NS = 500 * MS  # on the way, and until a check sees it
 CHECK_NS = 250 * MS  # between two looks at the bounds
 FLOOD = 80
 LARGE = 25_000  # parts in the body of a request that can't be held: 100 KB, more than a window
@@ -80,6 +82,8 @@
         self.last_told: dict[str, tuple[tuple[int, int], dict[str, dict[str, Any]]]] = {}
         self.replaced = 0
         self.started = 0  # processes that were started beside others
+        self.asked_ns: dict[str, int] = {}  # when each sidecar called discovery last
+        self.turned_ns = 0  # when discovery last came, went or moved
         self.nodes = [self._make_node(number) for number in range(scenario.servers)]
         self.plan: Plan | None = None
         self.plan_number = 0
@@ -175,6 +179,24 @@
             lines.append(f"Content-Length: {len(body)}")
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
+    def asked(self, sidecar: str, failed: bool = False) -> None:
+        """A sidecar has called discovery, or watched it until now."""
+        more_ns = (FAILED_TIMES - 1) * self.settings.must_ask_in_ns if failed else 0
+        self.asked_ns[sidecar] = self.kernel.now_ns + more_ns
+
+    def registry_turned(self) -> None:
+        """Discovery has gone down, moved or come back: what the rules allow without a call counts anew."""
+        self.turned_ns = self.kernel.now_ns
+
+    def _check_asked(self, side: Sidecar) -> None:
+        """The rule that a sidecar watches, or has called lately enough; judged where it spreads its calls."""
+        registry, now = self.registry, self.kernel.now_ns
+        watches = any(caller.sidecar == side.name for caller in registry.watchers)
+        since = max(self.asked_ns.get(side.name, 0), side.began_ns, self.turned_ns)
+        late_ns = now - since - self.settings.must_ask_in_ns
+        if side.alive and not (side.ending or watches or registry.down) and late_ns > ASK_SLACK_NS:
+            self.rules.breach(now, "lists", f"{side.name} has not asked for {(now - since) / SECOND:.1f} s")
+
     def told(
         self, sidecar: str, registry: Registry, version: int, whole: bool, entries: list[dict[str, Any]]
     ) -> None:
@@ -358,6 +380,7 @@
             entries = {node.name: self.entry(node, "SERVING") for node in self.nodes if node.alive}
             old = self.registry
             self.registry = Registry(self, old.number + 1, entries)
+            self.registry_turned()
             old.loop.wake(old.listener.close)
             self.kernel.after(1_500 * MS, self._close_old, old)
         for side in self.processes():
@@ -510,6 +533,9 @@
     def _check(self) -> None:
         for side in self.processes():
             self.check_process(side)
+        if WORLDS[self.scenario.world].calls:
+            for side in self.sidecars:
+                self._check_asked(side)
         for number in range(len(self.sidecars)):
             self._check_together(number)
         if self.views is not None:
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -138,6 +138,13 @@
         "if spec.scope is Scope.CELL and other.cell != server.cell:",
         "if False:",
     ),
+    Mutant(
+        "after an answer nobody calls again",
+        "net/discovery.py",
+        "                if number == self.round:\n                    self._next_in(pause)\n",
+        "                pass\n",
+        "coldstart",
+    ),
 ]
 
 
