Cold start: a long wait for a first answer lengthens the span; thousands of callers on a clock

Need: the service's slowness shows in its answers before it turns anybody away, and sizes that no machine has processes for.

--- a/dykefold/fleet/asking.py
+++ b/dykefold/fleet/asking.py
@@ -20,6 +20,8 @@
 MOVED_MOST_NS = 2 * SECOND  # ... after a new configuration: what the new one has to tell counts 4 s after it
 GO_ON_NS = 150_000_000  # a watch goes on if the next call comes within 200 ms of an answer (PROTOCOL)
 SLOWER = 2.0  # times the span after a failure, if any call of the fleet was answered since the last such
+LONG_NS = 100_000_000  # an answer to a call that begins a watch takes so long where many stand in front ...
+LONG_MOST_NS = 2 * SECOND  # ... or there was nothing to tell yet
 SLOWER_MOST = 64.0
 FASTER_NS = 5 * SECOND  # without a failure, in which what the span was stretched by comes down to half
 SILENT_NS = 2 * SECOND  # a call that others have news before for so long is taken for silent: rules say 6 s
@@ -44,6 +46,7 @@
         self.slower_ns = now_ns  # when that was right
         self.told_ns = 0  # the span that others found
         self.answered = True  # since the latest failure, this one or another
+        self.opened = False  # the latest call began a watch
         self.from_ns = now_ns  # what its slot counts from: its start, the latest failure or move
         self.called_ns: int | None = None
         self.failed_ns: int | None = None  # None while it is answered
@@ -60,13 +63,19 @@
         """Spans that others found of late: the third longest counts, as one or two may be wrong."""
         self.told_ns = sorted(told, reverse=True)[2] if len(told) > 2 else 0
 
-    def called(self, now_ns: int) -> None:
-        self.called_ns = now_ns
+    def called(self, now_ns: int, opens: bool) -> None:
+        """A call goes out; whether it begins a watch, and does not only go on with one."""
+        self.called_ns, self.opened = now_ns, opens
 
-    def was_answered(self) -> bool:
-        """A call was answered; whether that is news to others, who may be waiting."""
+    def was_answered(self, now_ns: int) -> bool:
+        """A call was answered; whether that is news to others: they may call, or had better wait longer."""
         news, self.failed_ns = self.failed_ns is not None, None
         self.answered, self.moved = True, False
+        if self.opened and self.called_ns is not None and LONG_NS < now_ns - self.called_ns < LONG_MOST_NS:
+            self._settle(now_ns)
+            self.slower = min(self.slower * SLOWER, SLOWER_MOST)  # others waited in front of it
+            news = True
+        self.opened = False
         return news
 
     def failed(self, now_ns: int) -> bool:
--- a/dykefold/fleet/lists.py
+++ b/dykefold/fleet/lists.py
@@ -41,6 +41,7 @@
         self.view: View | None = None
         self.later: asyncio.TimerHandle | None = None  # a call for what others told
         self.calling = False  # a call is open
+        self.opens = True  # the next one begins a watch
         discovery.schedule = self
 
     @property
@@ -51,21 +52,24 @@
 
     def opens_s(self) -> float:
         now_ns = self.system.monotonic_ns()
+        self.opens = True
         return (self.asking.opens_ns(now_ns, self.version) - now_ns) / SECOND
 
     def goes_on_s(self) -> float:
         now_ns = self.system.monotonic_ns()
-        return (self.asking.goes_on_ns(now_ns, self.version) - now_ns) / SECOND
+        due_ns = self.asking.goes_on_ns(now_ns, self.version)
+        self.opens = due_ns > now_ns
+        return (due_ns - now_ns) / SECOND
 
     def called(self) -> None:
-        self.asking.called(self.system.monotonic_ns())
+        self.asking.called(self.system.monotonic_ns(), self.opens)
         self.calling = True
         self._drop_later()
 
     def answered(self) -> None:
         self.calling = False
-        if self.asking.was_answered():
-            self._say()  # others may wait for a sign that it is back
+        if self.asking.was_answered(self.system.monotonic_ns()):
+            self._say()
 
     def failed(self) -> None:
         self.calling = False
@@ -124,6 +128,7 @@
             log.info("others have list %d, this one %d: the watch is opened anew", newest, self.version)
         if newest is not None:
             self.asking.refute(newest)
+        self.opens = True
         self.discovery.ask_now()
 
     def _drop_later(self) -> None:
--- a/dykefold/lab/fleet/run.py
+++ b/dykefold/lab/fleet/run.py
@@ -55,6 +55,7 @@
         looks: at the members' views, if they keep any.
         settled_s: from the end of the last fault until all views were right and stayed so.
         lag_s: the latest that the rig itself was while it loaded.
+        start_lag_s: ... before that, from the first that listened on: the list service was as late.
     """
 
     verdict: Verdict
@@ -73,6 +74,7 @@
     handshakes_worst: int = 0
     listed_s: list[float] = field(default_factory=list)
     cold_load: float = 0.0
+    start_lag_s: float = 0.0
 
     @property
     def good(self) -> bool:
@@ -91,6 +93,7 @@
         return {
             "valid": self.valid,
             "rig_lag_s": round(self.lag_s, 3),
+            "rig_lag_at_start_s": round(self.start_lag_s, 3),
             "requests": self.verdict.counts,
             "lost": len(self.verdict.lost),
             "excused": self.verdict.excused,
@@ -173,7 +176,7 @@
         self.first_s = self.loop.time()
         self.ready_s: list[float | None] = [None] * fleet.members
         self.listens_s: dict[int, float] = {}  # since when each member's latest process listens
-        self.lag_s = 0.0
+        self.lag_s = self.start_lag_s = 0.0
         self.faults_end_s = 0.0  # since the load began
         self.watch = Watch([(host, VIEW_PORT) for host in hosts], self.up) if fleet.view else None
 
@@ -268,6 +271,8 @@
         except StartError:
             return None
         self.listens_s[number] = self.loop.time()
+        if not any(self.ready_s):
+            self.lag_s = 0.0  # until now nobody was there to meet it
         if self.ready_s[number] is None:
             self.ready_s[number] = self.loop.time() - self.first_s
         return process
@@ -443,14 +448,15 @@
         for member in self.members:
             await member.prepare()
         self.first_s = self.loop.time()
+        lag = self.loop.create_task(self._watch_lag())
         starts = [self.loop.create_task(self.start(number)) for number in range(len(self.members))]
         await asyncio.wait(starts, timeout=READY_S)
         if any(fault.kind in ("kill", "term", "upgrade") for fault in self.scenario.faults):
             for member in self.members:
                 await member.prepare()
         began_s = self.loop.time()
+        self.start_lag_s, self.lag_s = self.lag_s, 0.0
         views = self.loop.create_task(self.watch.watch()) if self.watch is not None else None
-        lag = self.loop.create_task(self._watch_lag())
         loads = [self.loop.create_task(desk.play()) for desk in self.desks]
         faults = [self.loop.create_task(self.fault(fault)) for fault in self.scenario.faults]
         await asyncio.sleep(self.scenario.span_s)
@@ -518,6 +524,7 @@
                 if (at_s := listed.get(number)) is not None
             ],
             cold_load=max(self._cold_loads(), default=0.0),
+            start_lag_s=self.start_lag_s,
         )
 
     def _cold_loads(self) -> Iterator[float]:
--- a/tests/fleet/test_asking.py
+++ b/tests/fleet/test_asking.py
@@ -30,7 +30,7 @@
     assert max(first) < 1.6 * SECOND
     assert worst(first) <= 0.25 * 125 + 3
     for one in members:
-        one.called(10 * SECOND)
+        one.called(10 * SECOND, opens=False)
     again = [one.goes_on_ns(20 * SECOND, 2) for one in members]
     assert 20 * SECOND <= min(again) < max(again) < 21.6 * SECOND
     assert worst(again) <= 0.25 * 125 + 3
@@ -42,11 +42,11 @@
     now, calls = 0, []
     for version in range(100):
         now = one.goes_on_ns(now, version)  # each call finds something new
-        one.called(now)
+        one.called(now, opens=False)
         calls.append(now)
     assert calls[-1] - calls[0] >= 98 * 1.6 * SECOND
     (few, *_) = fleet_of(15)
-    few.called(0)
+    few.called(0, opens=False)
     assert few.spread_ns(0) <= GO_ON_NS
     assert few.goes_on_ns(5, 1) == 5
 
@@ -59,11 +59,11 @@
     for at in range(1, 20):
         assert not one.failed(at * SECOND)
     assert one.spread_ns(20 * SECOND) == 2 * usual
-    assert one.was_answered()  # news to others
-    assert not one.was_answered()
+    assert one.was_answered(20 * SECOND)  # news to others
+    assert not one.was_answered(20 * SECOND)
     assert one.failed(20 * SECOND)
     assert one.spread_ns(20 * SECOND) == 4 * usual
-    one.was_answered()
+    one.was_answered(20 * SECOND)
     assert usual <= one.spread_ns(60 * SECOND) < 1.1 * usual  # and comes down again
 
 
@@ -76,13 +76,13 @@
         if what == "fails":
             one.failed(now)
         elif what == "answered":
-            one.was_answered()
+            one.was_answered(now)
         elif what == "moves":
             one.moves(now)
             assert one.opens_ns(now, 0) - now <= MOVED_MOST_NS
         else:
             one.take_spread([1 << 60] * 4)
-        one.called(now)
+        one.called(now, opens=False)
         assert now <= one.opens_ns(now, 7) <= now + MOST_NS
         assert now <= one.goes_on_ns(now, 7) <= now + MOST_NS
 
@@ -118,3 +118,12 @@
     assert one.doubts_ns(due, 7, 9) is not None
     one.failed(due)
     assert one.doubts_ns(due, 7, 9) is None  # it waits for the service already
+
+
+def test_a_long_wait_for_an_answer_to_a_first_call_makes_the_span_longer_and_a_watch_does_not() -> None:
+    for opens, took_ns, times in ((True, SECOND // 5, 2), (True, SECOND // 50, 1), (False, SECOND, 1)):
+        (one, *_) = fleet_of(100)
+        usual = one.spread_ns(0)
+        one.called(0, opens)
+        assert one.was_answered(took_ns) is (times > 1)
+        assert one.spread_ns(took_ns) == times * usual
