--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -968,11 +968,9 @@
     def _set_trial(self, server: Server) -> None:
         if self.view:
             self.actions.append(api.Hint(server.id, False))
-        left = self.view and server.id in self.view.failing and server.rank >= self.view.part  # to others
-        wait = EJECT_MOST if left else min(EJECT_FOR * EJECT_GROWTH**server.ejections, EJECT_MOST)
+        wait = self.shortest * min(EJECT_FOR * EJECT_GROWTH**server.ejections, EJECT_MOST)
         server.ejections += 1
-        wait *= self.shortest * self.random.uniform(1.0 - EJECT_JITTER, 1.0 + EJECT_JITTER)
-        server.trial_at = self.now + int(wait)
+        server.trial_at = self.now + int(wait * self.random.uniform(1.0 - EJECT_JITTER, 1.0 + EJECT_JITTER))
 
     def _trial(self, req: Open) -> Server | None:
         """An ejected server that is due for one request: of a class safe to repeat, if there is any.
