Failover: sidecars of a lost zone work elsewhere, and come back in steps; off by default

Need: each sidecar found out alone, and all came back at once onto cold servers. Evidence by attempts was tried first: good answers of the second before hid the failure, the verdict was part, and nobody moved.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -19,10 +19,12 @@
 from .control.door import DESCRIPTORS as DOOR_DESCRIPTORS
 from .control.door import Door
 from .control.presence import Presence
+from .failover.options import Options as FailoverOptions
 from .net.engine import Engine
 from .net.peers import Address, Peers
 
 if TYPE_CHECKING:
+    from .failover.edge import Failover
     from .fleet.edge import Fleet
     from .fleet.lists import Lists
     from .operators import Service
@@ -52,6 +54,7 @@
         self.service = service
         self.fleet: Fleet | None = None
         self.lists: Lists | None = None
+        self.failover: Failover | None = None
 
     def __call__(self) -> None:
         engine = self.engine
@@ -69,6 +72,8 @@
             engine.peers.turn(config.settings.index, config.peers, config.peers_all)
         if self.fleet is not None:
             self.fleet.renumber(config.peers, config.settings.index)
+        if self.failover is not None:
+            self.failover.retune(config.fleet.failover)
         if self.lists is not None and config.settings.must_ask:
             self.lists.retune(config.settings.must_ask_in_ns)
         if engine.pool.discovery is not None:
@@ -99,8 +104,11 @@
             fleet = reload.fleet = _keep_view(loop, engine, config, peers)
         if fleet is not None and lists is not None:
             fleet.spread(lists)
+        failover = None
+        if fleet is not None and config.fleet.failover.on:
+            failover = reload.failover = _fail_over(loop, engine, config, fleet)
         if fleet is not None and config.fleet.listen is not None:
-            listener = _show_view(loop, fleet, config.fleet.listen)
+            listener = _show_view(loop, fleet, config.fleet.listen, failover)
         address = presence.listen(config.listen)
     except OSError as error:
         raise ConfigError(f"can't listen: {error}") from None
@@ -136,13 +144,26 @@
     return fleet
 
 
-def _show_view(loop: asyncio.AbstractEventLoop, fleet: Fleet, address: Address) -> Door:
+def _fail_over(loop: asyncio.AbstractEventLoop, engine: Engine, config: Config, fleet: Fleet) -> Failover:
+    """Take part in the failover between zones."""
+    from .failover.edge import Failover
+
+    zones, home = config.settings.zones, config.settings.zone
+    for name in {*config.fleet.failover.regions, *config.fleet.failover.out} - set(zones):
+        log.warning("failover: no zone %s; the settings have %s", name, ", ".join(zones))
+    return Failover(loop, fleet.view, engine.pool, zones, home, config.fleet.failover)
+
+
+def _show_view(
+    loop: asyncio.AbstractEventLoop, fleet: Fleet, address: Address, failover: Failover | None
+) -> Door:
     """Answer those who ask for the view at an address. Raises OSError if it can't be had."""
     from .control.calls import read_view
     from .fleet.edge import Teller
 
     sock = socket.create_server(address, backlog=DOOR_DESCRIPTORS, reuse_port=True)
-    door = Door(loop, sock, Teller(fleet), read=read_view)
+    plan = failover.shown if failover is not None else None
+    door = Door(loop, sock, Teller(fleet, plan), read=read_view)
     log.info("the view is told at %s:%d", *door.address)
     return door
 
@@ -233,8 +254,9 @@
         return check(sys.argv[2])
     serves = len(sys.argv) == 3 and sys.argv[1] == "serve"
     parts = sys.argv[1:]  # of what stands in [fleet], on without an operator's file
-    if parts and not serves and not set(parts) <= {"view", "calls"}:
-        print("usage: python -m dykefold [[view] [calls] | check FILE | serve FILE]", file=sys.stderr)
+    if parts and not serves and not set(parts) <= {"view", "calls", "failover"}:
+        usage = "usage: python -m dykefold [[view] [calls] [failover] | check FILE | serve FILE]"
+        print(usage, file=sys.stderr)
         return 2
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     # Guards the start and the end, when no loop listens: the signal's default would end the process.
@@ -246,7 +268,8 @@
             return 0
         config = read_config(path, service)
         if parts:
-            config.fleet = replace(config.fleet, view="view" in parts, calls="calls" in parts)
+            moves = FailoverOptions(on="failover" in parts)
+            config.fleet = replace(config.fleet, view="view" in parts, calls="calls" in parts, failover=moves)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(run(config, path, service))
             signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/dykefold/control/calls.py
+++ b/dykefold/control/calls.py
@@ -22,6 +22,7 @@
     BACK = "ready"  # it may be used again
     VIEW = "fleet"  # what the process holds of its fleet: at a listener of its own, not at the door
     BRIEF = "fleet/brief"  # ... in a line
+    PLAN = "fleet/plan"  # ... of the failover
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +51,9 @@
 
 def read_view(method: str, target: str) -> Call | Reply:
     """The calls that there are at a listener for the view."""
-    action = {f"/{one.value}": one for one in (Action.VIEW, Action.BRIEF)}.get(target.partition("?")[0])
+    action = {f"/{one.value}": one for one in (Action.VIEW, Action.BRIEF, Action.PLAN)}.get(
+        target.partition("?")[0]
+    )
     if action is None:
         return Reply(404, "no such call")
     return Call(action) if method == "GET" else Reply(405, "the view is asked for with GET", "GET")
--- /dev/null
+++ b/dykefold/failover/edge.py
@@ -0,0 +1,236 @@
+"""Carries the failover out: what the pool's attempts came to, what the view tells, and where home is."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from ..fleet.datagrams import Record
+from ..fleet.knowledge import Topic
+from ..fleet.pace import SECOND
+from ..fleet.view import View
+from ..fleet.words import zone_of
+from ..interface import Status
+from ..system import SYSTEM, System
+from .evidence import ZONES_MOST, Came, Evidence, Sight
+from .judgement import HARDLY, SAID_BY, Pair, Verdict, judge
+from .options import Options
+from .plan import Course, Where, Zones, order_of
+
+log = logging.getLogger("dykefold.failover")
+
+STEP_S = 0.25  # between two looks
+SAY_NS = SECOND  # between two words on what is seen, while anything is wrong
+REPORTERS = 5  # sidecars of a zone, those that stand first, tell what they see
+PART_UNIT = 100  # of a part that is away, as it is told
+
+
+class Pool(Protocol):
+    """The pool whose sidecar may move."""
+
+    attempted: Callable[[int, Status, int, int], None] | None
+
+    def placed(self) -> dict[int, int]:
+        """Ready servers by zone."""
+        ...
+
+    def standing(self) -> dict[int, tuple[int, int]]:
+        """By zone, how many servers have been tried, and how many of these the module has given up on."""
+        ...
+
+    def zone_of(self, server: int) -> int | None:
+        """The zone of a server that is known; None for another."""
+        ...
+
+    def answered_since(self, server: int, took_ns: int) -> bool:
+        """Whether a server has answered anything since an attempt began that has taken so long."""
+        ...
+
+    def home_at(self, zone: int) -> None:
+        """Take this zone for the own one from now on."""
+        ...
+
+
+class Failover:
+    """A process's part in the failover."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        view: View,
+        pool: Pool,
+        zones: list[str],
+        home: int,
+        options: Options,
+        system: System = SYSTEM,
+    ) -> None:
+        """Take part.
+
+        Args:
+            zones: their names by number, as the settings have them.
+            home: the own zone.
+        """
+        self.loop, self.view, self.pool, self.system = loop, view, pool, system
+        self.zones, self.home = zones[:ZONES_MOST], home
+        self.options = options
+        now_ns = system.monotonic_ns()
+        self.evidence = Evidence()
+        self.course = Course(home, now_ns)
+        self.verdicts: dict[Pair, Verdict] = {}
+        self.at = home  # the zone that the module takes for its own
+        self.said_ns = now_ns - SAY_NS
+        self.told: tuple[Where, float, frozenset[int]] | None = None
+        self.closed = False
+        pool.attempted = self._note
+        self._look()
+
+    # Evidence
+
+    def _note(self, server: int, status: Status, took_ns: int, aim_ns: int) -> None:
+        """An attempt has ended."""
+        zone = self.pool.zone_of(server)
+        if zone is None or status in (Status.MOOT, Status.CANCELLED):
+            return
+        now_ns = self.system.monotonic_ns()
+        if status in (Status.OK, Status.ERROR):
+            self.evidence.note(now_ns, zone, Came.GOOD if took_ns <= aim_ns else Came.LATE)
+        elif status is Status.FULL:
+            self.evidence.note(now_ns, zone, Came.FULL)
+        elif status is Status.TIMEOUT and self.pool.answered_since(server, took_ns):
+            self.evidence.note(now_ns, zone, Came.LATE)  # it answers others: it is slow, not silent
+
+    def _say(self, now_ns: int, own: dict[int, Sight], members: list[int]) -> None:
+        order = order_of(self.home, members)
+        if now_ns - self.said_ns < SAY_NS or self.view.me not in order[:REPORTERS]:
+            return
+        self.said_ns = now_ns
+        for zone, sight in own.items():
+            if zone < len(self.zones):
+                self.view.say(now_ns, Topic.SIGHT, zone, sight.packed())
+        part = int(self.course.part * PART_UNIT + 0.5)
+        if part:
+            self.view.say(now_ns, Topic.AWAY, self.home, part)
+
+    def _sights(self, now_ns: int, own: dict[int, Sight]) -> dict[Pair, list[Sight]]:
+        """What live sidecars see, by their zone and the one they look at; the own sight is of now."""
+        live = set(self.view.live(now_ns)) - {self.view.me}
+        found: defaultdict[Pair, list[Sight]] = defaultdict(list)
+        for zone in range(len(self.zones)):
+            if zone in own:
+                found[self.home, zone].append(own[zone])
+            for record, origin in self._of_live(now_ns, Topic.SIGHT, zone, live):
+                found[origin, zone].append(Sight.read(record.value))
+        return found
+
+    def _of_live(self, now_ns: int, topic: Topic, subject: int, live: set[int]) -> list[tuple[Record, int]]:
+        """Records of live sidecars on a zone, each with its origin's own zone."""
+        told = self.view.knowledge.about(now_ns, topic, subject)
+        zones = ((record, zone_of(self.view.table.words[record.origin])) for record, _ in told)
+        return [(record, zone) for record, zone in zones if zone is not None and record.origin in live]
+
+    def _left(self, now_ns: int, members: Counter[int]) -> frozenset[int]:
+        """Zones whose sidecars say that they are away from them."""
+        live = set(self.view.live(now_ns)) - {self.view.me}
+        left = set()
+        for zone in range(len(self.zones)):
+            say = sum(origin == zone for _, origin in self._of_live(now_ns, Topic.AWAY, zone, live))
+            if zone != self.home and say >= max(min(SAID_BY, members[zone]), 1):
+                left.add(zone)
+        return frozenset(left)
+
+    # The plan
+
+    def _look(self) -> None:
+        if self.closed:
+            return
+        self.timer = self.loop.call_later(STEP_S, self._look)
+        now_ns = self.system.monotonic_ns()
+        view = self.view
+        own = self.evidence.sights(now_ns, self.pool.standing())
+        placed = self.pool.placed()
+        wrong = not placed.get(self.home) or any(sight.lost >= HARDLY for sight in own.values())
+        told = view.knowledge.subjects(Topic.SIGHT, Topic.AWAY)
+        quiet = not (wrong or told or self.options.out) and self.course.where is Where.HOME
+        if quiet:
+            self.verdicts = {}
+            return  # all is well, and it costs nothing
+        live = view.live(now_ns)
+        by_zone = {number: zone_of(view.table.words[number]) for number in live}
+        members = Counter(zone for zone in by_zone.values() if zone is not None)
+        beside = [number for number in live if by_zone[number] == self.home]
+        heard = view.steady(now_ns) and len(live) > 1
+        self._say(now_ns, own, beside)
+        here = max(round(members[self.home] * (1.0 - self.course.part)), 1)
+        self.verdicts = judge(self._sights(now_ns, own), {**members, self.home: here})
+        zones = Zones(placed, self._regions(), self._out(), self._left(now_ns, members))
+        if self.course.step(now_ns, self.verdicts, zones, heard, len(beside)):
+            self._tell_people()
+        self._move(order_of(self.home, beside))
+
+    def _move(self, order: list[int]) -> None:
+        if self.view.me not in order:
+            return
+        at = self.course.home_of(order.index(self.view.me) / len(order))
+        if at != self.at:
+            log.info("works in zone %s now, not in %s", self._name(at), self._name(self.at))
+            self.at = at
+            self.pool.home_at(at)
+
+    def _regions(self) -> dict[int, str]:
+        regions = self.options.regions
+        return {number: regions[name] for number, name in enumerate(self.zones) if name in regions}
+
+    def _out(self) -> frozenset[int]:
+        return frozenset(number for number, name in enumerate(self.zones) if name in self.options.out)
+
+    def _name(self, zone: int) -> str:
+        return self.zones[zone] if zone < len(self.zones) else str(zone)
+
+    def _tell_people(self) -> None:
+        course = self.course
+        told = (course.where, course.part, frozenset(course.to))
+        if told == self.told:
+            return
+        self.told = told
+        to = ", ".join(f"{share:.2f} in {self._name(zone)}" for zone, share in course.to.items())
+        log.info(
+            "zone %s: %s, %.2f of its sidecars away%s; %s",
+            self._name(self.home), course.where, course.part, f" ({to})" if to else "", course.cause,
+        )  # fmt: skip
+
+    def retune(self, options: Options) -> None:
+        """Take what the operator's file says now."""
+        self.options = options
+
+    def shown(self) -> dict[str, Any]:
+        """The plan for people: the own zone's, what others say of theirs, and who sees what."""
+        now_ns = self.system.monotonic_ns()
+        live = set(self.view.live(now_ns)) - {self.view.me}
+        away = {
+            self._name(zone): sorted(record.value / PART_UNIT for record, of in said if of == zone)
+            for zone in range(len(self.zones))
+            if (said := self._of_live(now_ns, Topic.AWAY, zone, live))
+        }
+        course = self.course
+        return {
+            "zone": self._name(self.home),
+            "works_in": self._name(self.at),
+            "state": course.where.value,
+            "cause": course.cause,
+            "since_s": round((now_ns - course.since_ns) / SECOND, 3),
+            "away": round(course.part, 3),
+            "to": {self._name(zone): round(share, 3) for zone, share in course.to.items()},
+            "moves": course.moves,
+            "others_away": away,
+            "verdicts": {
+                f"{self._name(origin)} on {self._name(zone)}": verdict.value
+                for (origin, zone), verdict in sorted(self.verdicts.items())
+            },
+        }
+
+    def close(self) -> None:
+        self.closed = True
+        self.timer.cancel()
--- a/dykefold/failover/evidence.py
+++ b/dykefold/failover/evidence.py
@@ -1,7 +1,12 @@
-"""What a sidecar sent to each zone of late, and what came of it. No I/O."""
+"""How each zone looks from a sidecar: servers it has given up on, and what came of its attempts. No I/O.
+
+What is lost is counted by servers, not by attempts: a module that gives up on a server sends nothing there
+any more, and what it sent before the failure would hide it for seconds. Late and full are parts of attempts.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -9,6 +14,8 @@
 
 HALF_NS = SECOND  # in which an attempt comes to count half
 ZONES_MOST = 31  # zones that are told apart
+NOTHING = (0.0, 0.0, 0.0)
+GIVEN_UP = 2.0  # attempts that a server stands for which was given up on
 PARTS = 63  # steps in which a part is told
 WEIGHT_UNIT = 0.25  # attempts, of the weight as it is told
 WEIGHT_MOST = (1 << 14) - 1
@@ -18,9 +25,8 @@
     """What came of an attempt."""
 
     GOOD = 0  # answered in time
-    LATE = 1  # answered, or an error of the server's own, after the aim of its class
+    LATE = 1  # answered after the aim of its class, or not yet by a server that answers others
     FULL = 2  # turned away for want of room
-    LOST = 3  # no connection, silence, a reset
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +35,8 @@
 
     Attributes:
         weight: attempts it stands on, those of late counting most.
-        late, full, lost: parts of these.
+        late, full: parts of these.
+        lost: part of the servers that it has tried.
     """
 
     weight: float
@@ -62,16 +69,21 @@
             self._fade(now_ns)
             self.counts.setdefault(zone, [0.0] * len(Came))[came] += 1.0
 
-    def sights(self, now_ns: int) -> dict[int, Sight]:
-        """By zone; those to which nothing went for long are left out."""
+    def sights(self, now_ns: int, standing: Mapping[int, tuple[int, int]]) -> dict[int, Sight]:
+        """By zone; those of which nothing is known are left out.
+
+        Args:
+            standing: by zone, how many servers have been tried, and how many of these are given up on.
+        """
         self._fade(now_ns)
         found = {}
-        for zone, counts in self.counts.items():
-            weight = sum(counts)
-            if weight >= WEIGHT_UNIT:
-                found[zone] = Sight(
-                    weight, *(counts[came] / weight for came in (Came.LATE, Came.FULL, Came.LOST))
-                )
+        for zone, (tried, ejected) in standing.items():
+            counts = self.counts.get(zone, NOTHING)
+            attempts = sum(counts)
+            weight = attempts + ejected * GIVEN_UP
+            if tried and zone < ZONES_MOST and weight >= WEIGHT_UNIT:
+                late, full = (counts[came] / max(attempts, 1.0) for came in (Came.LATE, Came.FULL))
+                found[zone] = Sight(weight, late, full, ejected / tried)
         return found
 
     def _fade(self, now_ns: int) -> None:
--- a/dykefold/failover/plan.py
+++ b/dykefold/failover/plan.py
@@ -7,7 +7,7 @@
 
 | state | to | guard |
 | --- | --- | --- |
-| home | away | down or cut from home for `CONFIRM_NS`, and somewhere to go |
+| home | away | down, cut from home, or with no server listed, for `CONFIRM_NS`; and somewhere to go |
 | away | returning | fine from home, as the scouts see it, for `BACK_NS`, doubled with each move of late |
 | returning | home | each step of `STEP_NS` halves what is away; the last one takes the rest |
 | returning | away | down or cut again: at once |
@@ -52,11 +52,13 @@
         servers: ready ones by zone; those with none are no place to go.
         regions: by zone; zones without one are one region together.
         out: zones that are evacuated by hand.
+        left: zones that their own sidecars have left.
     """
 
     servers: Mapping[int, int]
     regions: Mapping[int, str]
     out: frozenset[int] = frozenset()
+    left: frozenset[int] = frozenset()
 
 
 def places(origin: int, zones: Zones, verdicts: Mapping[Pair, Verdict]) -> dict[int, float]:
@@ -66,7 +68,7 @@
         for zone, count in zones.servers.items()
         if zone != origin
         and count > 0
-        and zone not in zones.out
+        and zone not in zones.out | zones.left
         and verdicts.get((origin, zone), Verdict.UNCLEAR) not in NO_PLACE
         and verdicts.get((zone, zone), Verdict.UNCLEAR) not in NO_PLACE
     }
@@ -77,10 +79,9 @@
     return {zone: count / total for zone, count in sorted(chosen.items())}
 
 
-def stands(origin: int, me: int, members: Sequence[int]) -> float:
-    """The own place among the sidecars of a zone, from 0, below 1; the same for all who know them."""
-    order = sorted(members, key=lambda member: mix(origin, member + 1))
-    return order.index(me) / len(order)
+def order_of(origin: int, members: Sequence[int]) -> list[int]:
+    """The sidecars of a zone in the order in which they stay; the same for all who know them."""
+    return sorted(members, key=lambda member: mix(origin, member + 1))
 
 
 class Course:
@@ -115,9 +116,10 @@
         before = (self.where, self.part, self.to)
         verdict = verdicts.get((self.origin, self.origin), Verdict.UNCLEAR)
         evacuated = self.origin in zones.out
-        bad = evacuated or verdict in AWAY_FOR
+        empty = not zones.servers.get(self.origin)
+        bad = evacuated or empty or verdict in AWAY_FOR
         self.bad_ns = (now_ns if self.bad_ns is None else self.bad_ns) if bad else None
-        good = not evacuated and verdict in BACK_FOR
+        good = not bad and verdict in BACK_FOR
         self.good_ns = (now_ns if self.good_ns is None else self.good_ns) if good else None
         if now_ns - self.moved_ns > CALM_NS:
             self.moves = 0
@@ -126,14 +128,14 @@
             self._go(now_ns, Where.HOME, 0.0, "nobody is heard")
         elif self.where is Where.HOME:
             if self.bad_ns is not None and to and (evacuated or now_ns - self.bad_ns >= CONFIRM_NS):
-                self._away(now_ns, members, evacuated, verdict)
+                self._away(now_ns, members, zones, verdict)
         elif self.where is Where.AWAY:
             if not to:
                 self._go(now_ns, Where.HOME, 0.0, "there is nowhere to go")
             elif self.good_ns is not None and now_ns - self.good_ns >= self.back_ns:
                 self._go(now_ns, Where.RETURNING, self.part / 2, "home is fine as the scouts see it")
         elif bad:
-            self._away(now_ns, members, evacuated, verdict)
+            self._away(now_ns, members, zones, verdict)
         elif now_ns - self.since_ns >= STEP_NS and good:
             if self.part <= LAST:
                 self._go(now_ns, Where.HOME, 0.0, "all the way back")
@@ -142,11 +144,14 @@
         self.to = to if self.part else {}
         return (self.where, self.part, self.to) != before
 
-    def _away(self, now_ns: int, members: int, evacuated: bool, verdict: Verdict) -> None:
-        scouts = 0.0 if evacuated else max(SCOUTS, 1.0 / members if members else 1.0)
-        self._go(
-            now_ns, Where.AWAY, 1.0 - scouts, "evacuated by hand" if evacuated else f"home is {verdict.value}"
-        )
+    def _away(self, now_ns: int, members: int, zones: Zones, verdict: Verdict) -> None:
+        if self.origin in zones.out:
+            scouts, cause = 0.0, "evacuated by hand"
+        else:
+            scouts = max(SCOUTS, 1.0 / members if members else 1.0)
+            empty = not zones.servers.get(self.origin)
+            cause = "home has no servers listed" if empty else f"home is {verdict.value}"
+        self._go(now_ns, Where.AWAY, 1.0 - scouts, cause)
 
     def _go(self, now_ns: int, where: Where, part: float, cause: str) -> None:
         if (where, part) == (self.where, self.part):
@@ -157,7 +162,7 @@
         self.where, self.part, self.since_ns, self.cause = where, part, now_ns, cause
 
     def home_of(self, stands: float) -> int:
-        """The zone that a sidecar takes for its own, by its place among those of its zone."""
+        """The zone that a sidecar takes for its own, by its place in the order: from 0, below 1."""
         if stands < 1.0 - self.part or not self.to:
             return self.origin
         place = (stands - (1.0 - self.part)) / self.part
--- a/dykefold/fleet/edge.py
+++ b/dykefold/fleet/edge.py
@@ -286,14 +286,18 @@
 class Teller:
     """Answers those who ask for the view."""
 
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet = fleet
+    def __init__(self, fleet: Fleet, plan: Callable[[], dict[str, Any]] | None = None) -> None:
+        self.fleet, self.plan = fleet, plan
 
     def carry_out(self, call: Call) -> Reply:
         """The view, as JSON."""
         fleet = self.fleet
         if fleet.closed:
             return Reply(503, "a newer process of this member keeps the view")
+        if call.action is Action.PLAN:
+            if self.plan is None:
+                return Reply(404, "no failover: [failover] of the operator's file does not ask for it")
+            return Reply(200, json.dumps(self.plan()))
         return Reply(200, json.dumps(fleet.in_brief() if call.action is Action.BRIEF else fleet.in_full()))
 
 
--- a/dykefold/fleet/knowledge.py
+++ b/dykefold/fleet/knowledge.py
@@ -27,6 +27,8 @@
     LIST = 2  # subject: none; value: the newest version of the list seen, modulo 2^32
     FAILS = 3  # subject: a server that its origin has ejected, or found silent again
     ANSWERS = 4  # subject: a server that answered its origin after that
+    SIGHT = 7  # subject: a zone; value: how its origin sees it (failover/evidence.py)
+    AWAY = 8  # subject: the origin's zone; value: hundredths of that zone's sidecars that work elsewhere
     USUAL = 6  # subject: a class; value: its usual latency, microseconds
     CALLS = 5  # subject: none; value: over how many ms calls of the list service go; and whether it answers
 
@@ -56,6 +58,8 @@
     Topic.ANSWERS: Bound(10 * SECOND, 8, 5),
     Topic.CALLS: Bound(10 * SECOND, 1, 5, 7),
     Topic.USUAL: Bound(60 * SECOND, 16, 0),
+    Topic.SIGHT: Bound(4 * SECOND, 31, 96, 4),
+    Topic.AWAY: Bound(4 * SECOND, 1, 96, 4),
 }
 
 Key = tuple[int, int, int]  # topic, origin, subject
--- a/dykefold/lab/fleet/member.py
+++ b/dykefold/lab/fleet/member.py
@@ -15,6 +15,7 @@
 MS = 1_000_000
 EFFECTS = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
 LOOPBACK = "127.0.0.1"
+CROSSING = 0.05  # price of a request that goes to another zone, against the worth of one in time
 SAMPLE_S = 0.005  # between two looks at what processes hold
 
 
@@ -70,6 +71,7 @@
             "start-capacity": cold[0],
             "warm-within-ns": int(cold[1] * 1000 * MS),
         },
+        "prices": {"cross-zone": CROSSING},
         "telemetry": {"columns": ["rps", "cpu"], "how": "piggyback"},
         "tick-ns": 1 * MS,
     }
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any, Protocol
@@ -288,6 +288,8 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}  # those out, also of requests that are over
         self.next_id = 1
         self.events: deque[api.Event] = deque()
+        self.attempted: Callable[[int, Status, int, int], None] | None = None  # told each attempt's end
+        self.retired: frozenset[int] = frozenset()
         self.hinted: Callable[[int, bool], None] = lambda _server, _answers: None  # what it says to the fleet
         self.handling = False
         self.carry_out = self._actions()
@@ -377,7 +379,7 @@
             settings: with the classes by number, as `Generation` has them.
             retired: numbers that no new request is of.
         """
-        self.settings = settings
+        self.settings, self.retired = settings, retired
         self.max_open = transport.max_open
         self.reports = Reports(settings.report_columns)
         self.probe_path = b"/-/load" if settings.report_columns else b"/-/healthy"
@@ -574,6 +576,9 @@
             self._end_stream(held, status)
         # A body that flowed was its client's pace until it was whole.
         took = self.now() - max(attempt.sent_ns, upload.whole_ns if upload is not None else 0)
+        if self.attempted is not None:
+            aim_ns = self.settings.classes[held.call.cls].objective_ns
+            self.attempted(attempt.server, status, took, aim_ns)
         self.post(api.Outcome(held.id, attempt.number, attempt.server, status, took, not held.owed, report))
         if self.gone is not None:
             self.loop.call_soon(self._leave_if_done)
@@ -724,6 +729,34 @@
         known = self.balancer.servers
         return {name: number for name, number in self.names.servers.items() if number in known}
 
+    def home_at(self, zone: int) -> None:
+        """Have the module take this zone for its own, until another is named or other settings come."""
+        self.post(api.Retune(replace(self.settings, zone=zone), self.retired))
+
+    def placed(self) -> dict[int, int]:
+        """Ready servers by zone."""
+        servers = self.balancer.servers.values()
+        return Counter(server.zone for server in servers if server.ready and server.listed)
+
+    def standing(self) -> dict[int, tuple[int, int]]:
+        """By zone, how many servers have been tried, and how many of these the module has given up on."""
+        found: dict[int, tuple[int, int]] = {}
+        for server in self.balancer.servers.values():
+            if server.ready and server.listed and (server.samples or server.ejected):
+                tried, ejected = found.get(server.zone, (0, 0))
+                found[server.zone] = tried + 1, ejected + server.ejected
+        return found
+
+    def zone_of(self, server: int) -> int | None:
+        """The zone of a server that is known; None for another."""
+        known = self.balancer.servers.get(server)
+        return known.zone if known is not None else None
+
+    def answered_since(self, server: int, took_ns: int) -> bool:
+        """Whether a server has answered anything since an attempt began that has taken so long."""
+        known = self.balancer.servers.get(server)
+        return known is not None and known.last_ok > self.now() - took_ns
+
     def classes(self) -> dict[str, int]:
         """The numbers of the module's classes, by name."""
         balancer = self.balancer
--- a/dykefold/operators.py
+++ b/dykefold/operators.py
@@ -15,13 +15,14 @@
 from msgspec import Meta
 
 from .admission.addresses import Caps
+from .failover.options import Options as Failover
 from .fleet.options import CALLS_PER_S, Options
 from .net.discovery import split_address
 from .routing.config import read_plan, struct_problems
 from .routing.plan import Plan
 
 PLANNED = ("node", "pools", "routes")
-TABLES = ("admission", "control", "fleet", *PLANNED)
+TABLES = ("admission", "control", "failover", "fleet", *PLANNED)
 
 Positive = Annotated[int, Meta(ge=1)]
 Count = Annotated[int, Meta(ge=0)]
@@ -81,6 +82,14 @@
     calls_per_s: Annotated[float, Meta(gt=0)] = CALLS_PER_S
 
 
+class FailoverTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """`[failover]`: see docs/operators/failover.md."""
+
+    on: bool = False
+    regions: dict[str, str] = {}
+    out: list[str] = []
+
+
 class ServiceError(Exception):
     """The file can't be used; `problems` has one line for each thing wrong with it."""
 
@@ -140,6 +149,11 @@
     problems += struct_problems("control", control, ControlTable)
     fleet = data.get("fleet", {})
     problems += struct_problems("fleet", fleet, FleetTable)
+    failover = data.get("failover", {})
+    problems += struct_problems("failover", failover, FailoverTable)
+    viewed = isinstance(fleet, dict) and fleet.get("view") is True
+    if isinstance(failover, dict) and failover.get("on") is True and not viewed:
+        problems.append("failover.on: wants the view; expected view = true in [fleet]")
     for name, table in (("control", control), ("fleet", fleet)):
         listen = table.get("listen") if isinstance(table, dict) else None
         if isinstance(listen, str) and (problem := _address_problem(name, listen)):
@@ -154,12 +168,19 @@
         raise ServiceError(path, problems)
     read = msgspec.convert(control, ControlTable)
     view = msgspec.convert(fleet, FleetTable)
+    moves = msgspec.convert(failover, FailoverTable)
     return Service(
         msgspec.convert(admission, AdmissionTable).caps(),
         plan,
         _address(read.listen),
         read.folder,
-        Options(view.view, _address(view.listen), view.calls, view.calls_per_s),
+        Options(
+            view.view,
+            _address(view.listen),
+            view.calls,
+            view.calls_per_s,
+            Failover(moves.on, moves.regions, frozenset(moves.out)),
+        ),
     )
 
 
