--- a/dykefold/cli/fleet.py
+++ b/dykefold/cli/fleet.py
@@ -36,29 +36,52 @@
     as_json: Annotated[bool, typer.Option("--json", help="One JSON object for programs.")] = False,
 ) -> None:
     """Show a sidecar's view: each member, its state, and the latest changes with their causes."""
-    try:
-        host, port = split_address(at)
-    except ValueError as error:
-        raise typer.BadParameter(str(error), param_hint="--at") from None
-    told = _ask(host, port)
+    told = _ask(at, Action.VIEW, "members")
     if as_json:
         typer.echo(json.dumps(told))
         return
     _show(told)
 
 
-def _ask(host: str, port: int) -> dict[str, Any]:
-    """The view; exit code 1 where none is to be had."""
+@group.command()
+def plan(
+    at: Annotated[
+        str, typer.Option("--at", metavar="HOST:PORT", help="`listen` in [fleet] of the operator's file.")
+    ],
+    as_json: Annotated[bool, typer.Option("--json", help="One JSON object for programs.")] = False,
+) -> None:
+    """Show where a sidecar's zone works and why, which zones others have left, and who sees what."""
+    told = _ask(at, Action.PLAN, "works_in")
+    if as_json:
+        typer.echo(json.dumps(told))
+        return
+    console = Console()
+    to = ", ".join(f"{share:.2f} in {zone}" for zone, share in told["to"].items())
+    console.print(f"zone {told['zone']}: {told['state']} for {told['since_s']:.1f} s; {told['cause']}")
+    console.print(f"{told['away']:.2f} of its sidecars work elsewhere{f': {to}' if to else ''}")
+    console.print(f"this one works in zone {told['works_in']}; {told['moves']} moves of late")
+    for zone, parts in told["others_away"].items():
+        console.print(f"zone {zone}: its sidecars say that {min(parts):.2f} to {max(parts):.2f} are away")
+    for pair, verdict in told["verdicts"].items():
+        console.print(f"{pair}: {verdict}")
+
+
+def _ask(at: str, action: Action, key: str) -> dict[str, Any]:
+    """What is told at an address, which has this key; exit code 1 where it is not to be had."""
+    try:
+        host, port = split_address(at)
+    except ValueError as error:
+        raise typer.BadParameter(str(error), param_hint="--at") from None
     caller = http.client.HTTPConnection(host, port, timeout=TIMEOUT_S)
     try:
-        caller.request("GET", f"/{Action.VIEW.value}")
+        caller.request("GET", f"/{action.value}")
         reply = caller.getresponse()
         text = reply.read().decode("utf-8", "replace").strip()
         if reply.status == 200:
             told = json.loads(text)
-            if isinstance(told, dict) and "members" in told:
+            if isinstance(told, dict) and key in told:
                 return told
-        problem = f"{host}:{port} told no view: {reply.status} {text[:200]}"
+        problem = f"{host}:{port} told no {action.name.lower()}: {reply.status} {text[:200]}"
     except (OSError, http.client.HTTPException, ValueError) as error:
         problem = f"no answer from {host}:{port}: {error or type(error).__name__}"
     finally:
