--- a/dykefold/cli/fleet.py
+++ b/dykefold/cli/fleet.py
@@ -60,8 +60,8 @@
     console.print(f"zone {told['zone']}: {told['state']} for {told['since_s']:.1f} s; {told['cause']}")
     console.print(f"{told['away']:.2f} of its sidecars work elsewhere{f': {to}' if to else ''}")
     console.print(f"this one works in zone {told['works_in']}; {told['moves']} moves of late")
-    for zone, parts in told["others_away"].items():
-        console.print(f"zone {zone}: its sidecars say that {min(parts):.2f} to {max(parts):.2f} are away")
+    for zone, levels in told["others_levels"].items():
+        console.print(f"zone {zone}: {len(levels)} of its sidecars tell that they are away, levels {levels}")
     for pair, verdict in told["verdicts"].items():
         console.print(f"{pair}: {verdict}")
 
--- a/dykefold/failover/edge.py
+++ b/dykefold/failover/edge.py
@@ -18,14 +18,13 @@
 from .evidence import ZONES_MOST, Came, Evidence, Sight
 from .judgement import HARDLY, SAID_BY, Pair, Verdict, judge
 from .options import Options
-from .plan import Course, Where, Zones, order_of
+from .plan import BACK_STEPS, Course, Where, Zones, order_of
 
 log = logging.getLogger("dykefold.failover")
 
 STEP_S = 0.25  # between two looks
 SAY_NS = SECOND  # between two words on what is seen, while anything is wrong
 REPORTERS = 5  # sidecars of a zone, those that stand first, tell what they see
-PART_UNIT = 100  # of a part that is away, as it is told
 
 
 class Pool(Protocol):
@@ -102,17 +101,15 @@
         elif status is Status.TIMEOUT and self.pool.answered_since(server, took_ns):
             self.evidence.note(now_ns, zone, Came.LATE)  # it answers others: it is slow, not silent
 
-    def _say(self, now_ns: int, own: dict[int, Sight], members: list[int]) -> None:
-        order = order_of(self.home, members)
+    def _say(self, now_ns: int, own: dict[int, Sight], order: list[int]) -> None:
         if now_ns - self.said_ns < SAY_NS or self.view.me not in order[:REPORTERS]:
             return
         self.said_ns = now_ns
         for zone, sight in own.items():
             if zone < len(self.zones):
                 self.view.say(now_ns, Topic.SIGHT, zone, sight.packed())
-        part = int(self.course.part * PART_UNIT + 0.5)
-        if part:
-            self.view.say(now_ns, Topic.AWAY, self.home, part)
+        if self.course.level:
+            self.view.say(now_ns, Topic.AWAY, self.home, self.course.level)
 
     def _sights(self, now_ns: int, own: dict[int, Sight]) -> dict[Pair, list[Sight]]:
         """What live sidecars see, by their zone and the one they look at; the own sight is of now."""
@@ -141,6 +138,13 @@
                 left.add(zone)
         return frozenset(left)
 
+    def _held(self, now_ns: int, order: list[int]) -> list[int]:
+        """The levels of those who tell for the own zone; who says nothing is at home."""
+        told = self.view.knowledge.about(now_ns, Topic.AWAY, self.home)
+        levels = {record.origin: min(record.value, BACK_STEPS + 1) for record, _ in told}
+        levels[self.view.me] = self.course.level
+        return [levels.get(member, 0) for member in order[:REPORTERS]]
+
     # The plan
 
     def _look(self) -> None:
@@ -162,13 +166,14 @@
         members = Counter(zone for zone in by_zone.values() if zone is not None)
         beside = [number for number in live if by_zone[number] == self.home]
         heard = view.steady(now_ns) and len(live) > 1
-        self._say(now_ns, own, beside)
+        order = order_of(self.home, beside)
+        self._say(now_ns, own, order)
         here = max(round(members[self.home] * (1.0 - self.course.part)), 1)
         self.verdicts = judge(self._sights(now_ns, own), {**members, self.home: here})
         zones = Zones(placed, self._regions(), self._out(), self._left(now_ns, members))
-        if self.course.step(now_ns, self.verdicts, zones, heard, len(beside)):
+        if self.course.step(now_ns, self.verdicts, zones, heard, len(beside), self._held(now_ns, order)):
             self._tell_people()
-        self._move(order_of(self.home, beside))
+        self._move(order)
 
     def _move(self, order: list[int]) -> None:
         if self.view.me not in order:
@@ -210,7 +215,7 @@
         now_ns = self.system.monotonic_ns()
         live = set(self.view.live(now_ns)) - {self.view.me}
         away = {
-            self._name(zone): sorted(record.value / PART_UNIT for record, of in said if of == zone)
+            self._name(zone): sorted(record.value for record, of in said if of == zone)
             for zone in range(len(self.zones))
             if (said := self._of_live(now_ns, Topic.AWAY, zone, live))
         }
@@ -221,10 +226,11 @@
             "state": course.where.value,
             "cause": course.cause,
             "since_s": round((now_ns - course.since_ns) / SECOND, 3),
+            "level": course.level,
             "away": round(course.part, 3),
             "to": {self._name(zone): round(share, 3) for zone, share in course.to.items()},
             "moves": course.moves,
-            "others_away": away,
+            "others_levels": away,
             "verdicts": {
                 f"{self._name(origin)} on {self._name(zone)}": verdict.value
                 for (origin, zone), verdict in sorted(self.verdicts.items())
--- a/dykefold/failover/plan.py
+++ b/dykefold/failover/plan.py
@@ -9,9 +9,10 @@
 | --- | --- | --- |
 | home | away | down, cut from home, or with no server listed, for `CONFIRM_NS`; and somewhere to go |
 | away | returning | fine from home, as the scouts see it, for `BACK_NS`, doubled with each move of late |
-| returning | home | each step of `STEP_NS` halves what is away; the last one takes the rest |
+| returning | home | each step of `STEP_NS` halves what is away; the fourth takes the rest |
 | returning | away | down or cut again: at once |
-| any | home | nobody is heard, or the view is not steady |
+| any | home | nobody is heard, the view is not steady, or there is nowhere to go |
+| any | any | the middle one of those who tell for the zone has held that for `DISSENT_NS` |
 
 What is slow or overloaded moves nobody, and neither does a part: the module shifts single servers by itself.
 """
@@ -31,8 +32,9 @@
 BACK_MOST_NS = 60 * SECOND
 CALM_NS = 60 * SECOND  # without a move, after which one is no longer held against the zone
 STEP_NS = 2 * SECOND
+BACK_STEPS = 3  # of the way back, each half of what is away, before the last
+DISSENT_NS = 5 * SECOND  # longer than a word of those who tell lasts
 SCOUTS = 0.125  # of a zone's sidecars stay to see, one at the least
-LAST = 0.2  # away that the last step back takes at once
 AWAY_FOR = frozenset((Verdict.DOWN, Verdict.CUT))
 BACK_FOR = frozenset((Verdict.FINE, Verdict.SLOW))
 NO_PLACE = frozenset((Verdict.DOWN, Verdict.CUT, Verdict.PART, Verdict.OVERLOADED))
@@ -85,81 +87,110 @@
 
 
 class Course:
-    """What the sidecars of one zone do, as one of them holds it."""
+    """What the sidecars of one zone do, as one of them holds it.
+
+    Attributes:
+        level: 0 at home, 1 away, and one more for each step of the way back: the same number at all who hold
+            one plan, whatever they know of how many they are.
+        part: of the zone's sidecars that are away at this level.
+    """
 
     def __init__(self, origin: int, now_ns: int) -> None:
         self.origin = origin
-        self.where = Where.HOME
-        self.part = 0.0  # of the zone's sidecars that are away
-        self.since_ns = now_ns  # of the state
+        self.level = 0
+        self.part = 0.0
+        self.since_ns = now_ns  # of the level
         self.bad_ns: int | None = None  # since when home is not to be had
         self.good_ns: int | None = None
+        self.dissent_ns: int | None = None  # since when others of the zone hold another level
         self.moves = 0  # of late
         self.moved_ns = now_ns
         self.cause = "it has just begun"
         self.to: dict[int, float] = {}
 
+    @property
+    def where(self) -> Where:
+        return Where.HOME if not self.level else Where.AWAY if self.level == 1 else Where.RETURNING
+
     @property
     def back_ns(self) -> int:
         """How long home must be fine before the way back: longer for one that flaps."""
         return min(BACK_NS << min(max(self.moves - 1, 0), 8), BACK_MOST_NS)
 
     def step(
-        self, now_ns: int, verdicts: Mapping[Pair, Verdict], zones: Zones, heard: bool, members: int
+        self,
+        now_ns: int,
+        verdicts: Mapping[Pair, Verdict],
+        zones: Zones,
+        heard: bool,
+        members: int,
+        held: Sequence[int] = (),
     ) -> bool:
         """Go by the evidence of now; whether anything has changed.
 
         Args:
             heard: others are heard, and the view is steady.
             members: live sidecars of the zone.
+            held: the levels that those hold who tell for the zone, this one among them if it is one.
         """
-        before = (self.where, self.part, self.to)
+        before = (self.level, self.part, self.to)
         verdict = verdicts.get((self.origin, self.origin), Verdict.UNCLEAR)
-        evacuated = self.origin in zones.out
-        empty = not zones.servers.get(self.origin)
+        evacuated, empty = self.origin in zones.out, not zones.servers.get(self.origin)
         bad = evacuated or empty or verdict in AWAY_FOR
-        self.bad_ns = (now_ns if self.bad_ns is None else self.bad_ns) if bad else None
         good = not bad and verdict in BACK_FOR
-        self.good_ns = (now_ns if self.good_ns is None else self.good_ns) if good else None
+        self.bad_ns = _since(self.bad_ns, now_ns, bad)
+        self.good_ns = _since(self.good_ns, now_ns, good)
         if now_ns - self.moved_ns > CALM_NS:
             self.moves = 0
         to = places(self.origin, zones, verdicts)
+        why = (
+            "evacuated by hand"
+            if evacuated
+            else "home has no servers listed"
+            if empty
+            else f"home is {verdict}"
+        )
         if not heard:
-            self._go(now_ns, Where.HOME, 0.0, "nobody is heard")
-        elif self.where is Where.HOME:
-            if self.bad_ns is not None and to and (evacuated or now_ns - self.bad_ns >= CONFIRM_NS):
-                self._away(now_ns, members, zones, verdict)
-        elif self.where is Where.AWAY:
-            if not to:
-                self._go(now_ns, Where.HOME, 0.0, "there is nowhere to go")
-            elif self.good_ns is not None and now_ns - self.good_ns >= self.back_ns:
-                self._go(now_ns, Where.RETURNING, self.part / 2, "home is fine as the scouts see it")
+            self._go(now_ns, 0, "nobody is heard")
+        elif not to:
+            self._go(now_ns, 0, "there is nowhere to go")
+        elif not self.level:
+            if self.bad_ns is not None and (evacuated or now_ns - self.bad_ns >= CONFIRM_NS):
+                self._go(now_ns, 1, why)
         elif bad:
-            self._away(now_ns, members, zones, verdict)
-        elif now_ns - self.since_ns >= STEP_NS and good:
-            if self.part <= LAST:
-                self._go(now_ns, Where.HOME, 0.0, "all the way back")
-            else:
-                self._go(now_ns, Where.RETURNING, self.part / 2, "a step back")
-        self.to = to if self.part else {}
-        return (self.where, self.part, self.to) != before
-
-    def _away(self, now_ns: int, members: int, zones: Zones, verdict: Verdict) -> None:
-        if self.origin in zones.out:
-            scouts, cause = 0.0, "evacuated by hand"
-        else:
-            scouts = max(SCOUTS, 1.0 / members if members else 1.0)
-            empty = not zones.servers.get(self.origin)
-            cause = "home has no servers listed" if empty else f"home is {verdict.value}"
-        self._go(now_ns, Where.AWAY, 1.0 - scouts, cause)
-
-    def _go(self, now_ns: int, where: Where, part: float, cause: str) -> None:
-        if (where, part) == (self.where, self.part):
+            self._go(now_ns, 1, why)
+        elif self.good_ns is not None:
+            if self.level == 1 and now_ns - self.good_ns >= self.back_ns:
+                self._go(now_ns, 2, "home is fine as the scouts see it")
+            elif self.level > 1 and now_ns - self.since_ns >= STEP_NS:
+                last = self.level > BACK_STEPS
+                self._go(now_ns, 0 if last else self.level + 1, "all the way back" if last else "a step back")
+        if heard and to:
+            self._follow(now_ns, held)
+        scouts = 0.0 if evacuated else max(SCOUTS, 1.0 / max(members, 1))
+        self.part = (1.0 - scouts) / (1 << (self.level - 1)) if self.level else 0.0
+        self.to = to if self.level else {}
+        return (self.level, self.part, self.to) != before
+
+    def _follow(self, now_ns: int, held: Sequence[int]) -> None:
+        """Take what the middle one of those who tell for the zone holds, if that is another for long.
+
+        One who began in the middle, or was cut off, comes to hold what the others do. All take the same
+        middle, so they can't change places; and evidence that all have moves them together long before.
+        """
+        common = sorted(held)[(len(held) - 1) // 2] if held else self.level
+        self.dissent_ns = _since(self.dissent_ns, now_ns, common != self.level)
+        if self.dissent_ns is not None and now_ns - self.dissent_ns >= DISSENT_NS:
+            self._go(now_ns, common, "others of the zone hold this")
+            self.dissent_ns = None
+
+    def _go(self, now_ns: int, level: int, cause: str) -> None:
+        if level == self.level:
             return
-        if where is Where.AWAY:
+        if level == 1:
             self.moves += 1
             self.moved_ns = now_ns
-        self.where, self.part, self.since_ns, self.cause = where, part, now_ns, cause
+        self.level, self.since_ns, self.cause = level, now_ns, cause
 
     def home_of(self, stands: float) -> int:
         """The zone that a sidecar takes for its own, by its place in the order: from 0, below 1."""
@@ -171,3 +202,8 @@
                 return zone
             place -= share
         return next(reversed(self.to))
+
+
+def _since(known: int | None, now_ns: int, holds: bool) -> int | None:
+    """Since when something holds."""
+    return (now_ns if known is None else known) if holds else None
--- a/dykefold/fleet/knowledge.py
+++ b/dykefold/fleet/knowledge.py
@@ -28,7 +28,7 @@
     FAILS = 3  # subject: a server that its origin has ejected, or found silent again
     ANSWERS = 4  # subject: a server that answered its origin after that
     SIGHT = 7  # subject: a zone; value: how its origin sees it (failover/evidence.py)
-    AWAY = 8  # subject: the origin's zone; value: hundredths of that zone's sidecars that work elsewhere
+    AWAY = 8  # subject: the origin's zone; value: the level of the plan that it holds (failover/plan.py)
     USUAL = 6  # subject: a class; value: its usual latency, microseconds
     CALLS = 5  # subject: none; value: over how many ms calls of the list service go; and whether it answers
 
--- a/dykefold/sim/process.py
+++ b/dykefold/sim/process.py
@@ -7,6 +7,8 @@
 
 from ..admission.addresses import Caps
 from ..control.upgrade import Upgrade
+from ..failover.edge import Failover
+from ..failover.options import Options as FailoverOptions
 from ..fleet.edge import Fleet
 from ..fleet.lists import Lists
 from ..fleet.options import CALLS_PER_S
@@ -86,6 +88,7 @@
         self.services: Services | None = None
         self.upgrade: Upgrade | None = None
         self.fleet: Fleet | None = None
+        self.failover: Failover | None = None
         if not place:
             run.network.add_host(self.name, self.address)
         run.network.open.setdefault(self.process, {})
@@ -160,6 +163,16 @@
                     self.loop, engine, made, peers, self.number, settings.zone, 0.0, self.seed, self.system
                 )
                 self.fleet.serve(engine.pool)
+        if WORLDS[self.run.scenario.world].failover and self.fleet is not None:
+            self.failover = Failover(
+                self.loop,
+                self.fleet.view,
+                engine.pool,
+                settings.zones,
+                settings.zone,
+                FailoverOptions(on=True),
+                self.system,
+            )
         if WORLDS[self.run.scenario.world].calls and engine.pool.discovery is not None:
             within_ns, size = settings.must_ask_in_ns, settings.fleet_size
             lists = Lists(
--- a/dykefold/sim/schedule.py
+++ b/dykefold/sim/schedule.py
@@ -143,6 +143,7 @@
         spread: sidecars stand in them in turn too, not all in the first.
         view: sidecars keep a view of their fleet, and the run goes on until it must have settled.
         calls: they spread their calls of the list service.
+        failover: they may work away from their zone.
         ahead: of the requests are sent ahead of an answer, on a connection that waits for one.
     """
 
@@ -159,6 +160,7 @@
     spread: bool = False
     view: bool = False
     calls: bool = False
+    failover: bool = False
 
 
 PLATFORM = tuple(kind for kind in Kind if kind not in OF_FLEETS | OF_UPGRADES)
@@ -195,6 +197,11 @@
          Kind.PART, Kind.STALE),
         (1000, 800, 1200), (0.5, 0.28, 0.22), zones="abc", spread=True, view=True, calls=True,
     ),
+    "zones": World(
+        12, 15, 10.0, 0.7,
+        (*[Kind.ZONE] * 4, Kind.PART, Kind.HERD, Kind.KILL, Kind.SILENT, Kind.CRASH, Kind.STALE, Kind.CUT),
+        (1000, 800, 1200), (0.5, 0.28, 0.22), zones="abc", spread=True, view=True, failover=True,
+    ),
 }  # fmt: skip
 
 
--- a/dykefold/sim/world.py
+++ b/dykefold/sim/world.py
@@ -572,6 +572,18 @@
         if staying and not served and all(now - side.began_ns > YES_NS for side in staying):
             self.rules.breach(now, "upgrades", f"nobody takes the clients of {living[0].name}")
 
+    def _check_plans(self) -> None:
+        """At rest all sidecars of a zone hold one plan."""
+        held: dict[int, set[int]] = {}
+        for side in self.sidecars:
+            if side.alive and side.failover is not None and not side.ending:
+                course = side.failover.course
+                held.setdefault(course.origin, set()).add(course.level)
+        for zone, levels in held.items():
+            if len(levels) > 1:
+                text = f"sidecars of zone {zone} hold levels {sorted(levels)}"
+                self.rules.breach(self.kernel.now_ns, "plans", text)
+
     def play(self, steps_most: int | None = None) -> list[Breach]:
         """Run to the end, the quiet after it included; what was broken."""
         until_ns = self.scenario.span_ns
@@ -583,6 +595,7 @@
             until_ns = self.views.settled_by(self.kernel.now_ns)
             self.kernel.run(until_ns)
             self.views.at_rest(until_ns)
+            self._check_plans()
         for app in self.apps:
             app.loop.wake(app.close)
         self.kernel.run(until_ns + QUIET_NS)
--- a/tests/failover/test_failover.py
+++ b/tests/failover/test_failover.py
@@ -13,6 +13,7 @@
 from dykefold.failover.plan import (
     BACK_NS,
     CONFIRM_NS,
+    DISSENT_NS,
     SCOUTS,
     STEP_NS,
     Course,
@@ -183,6 +184,22 @@
     assert course.where is Where.HOME
 
 
+def test_one_that_dissents_for_long_takes_what_the_middle_of_those_who_tell_holds() -> None:
+    for own, held, then in (
+        (0, [1, 1, 1, 1, 0], 1),
+        (2, [0, 0, 0, 2, 2], 0),
+        (1, [3, 3, 3, 3, 1], 3),
+        (1, [1, 0], 0),
+    ):
+        course = Walk()
+        course.level = own
+        for at_ns in range(0, DISSENT_NS, SECOND):
+            course.step(at_ns, {}, ZONES, heard=True, members=10, held=held)
+            assert course.level == own
+        course.step(DISSENT_NS, {}, ZONES, heard=True, members=10, held=held)
+        assert course.level == then
+
+
 def test_a_zone_with_no_servers_is_left_and_not_returned_to_before_they_answer() -> None:
     course = Walk()
     none = Zones({1: 4, 2: 4}, {})
@@ -197,7 +214,7 @@
 @given(st.sets(st.integers(0, 400), min_size=1, max_size=80), st.floats(0.0, 0.875))
 def test_the_part_that_is_away_and_where_is_as_planned(members: set[int], part: float) -> None:
     course = Walk()
-    course.part, course.to = part, {1: 0.25, 2: 0.75}
+    course.level, course.part, course.to = 1, part, {1: 0.25, 2: 0.75}
     homes = [course.home_of(place / len(members)) for place in range(len(order_of(0, sorted(members))))]
     away = sum(home != 0 for home in homes)
     assert abs(away - part * len(members)) <= 1.0
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -145,6 +145,13 @@
         "                pass\n",
         "coldstart",
     ),
+    Mutant(
+        "one that holds another plan than its zone goes on with it",
+        "failover/plan.py",
+        "        if heard and to:\n            self._follow(now_ns, held)\n",
+        "",
+        "zones",
+    ),
 ]
 
 
