Failover: new settings in the middle of a move leave a sidecar where it works

Seen on reading: SIGHUP hands the module settings that name its own zone, while the plan had it elsewhere; it would have gone home at once, all of a zone together. Now the plan's zone is named again; another own zone begins anew. Test red without it.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -73,7 +73,8 @@
         if self.fleet is not None:
             self.fleet.renumber(config.peers, config.settings.index)
         if self.failover is not None:
-            self.failover.retune(config.fleet.failover)
+            settings = config.settings
+            self.failover.retune(settings.zones, settings.zone, config.fleet.failover)
         if self.lists is not None and config.settings.must_ask:
             self.lists.retune(config.settings.must_ask_in_ns)
         if engine.pool.discovery is not None:
--- a/dykefold/failover/edge.py
+++ b/dykefold/failover/edge.py
@@ -206,9 +206,15 @@
             self._name(self.home), course.where, course.part, f" ({to})" if to else "", course.cause,
         )  # fmt: skip
 
-    def retune(self, options: Options) -> None:
-        """Take what the operator's file says now."""
-        self.options = options
+    def retune(self, zones: list[str], home: int, options: Options) -> None:
+        """Take what the files say now. The pool has taken new settings, and with these their own zone."""
+        self.options, self.zones = options, zones[:ZONES_MOST]
+        if home != self.home:
+            self.home = self.at = home
+            self.course = Course(home, self.system.monotonic_ns())
+            self.evidence = Evidence()
+        elif self.at != home:
+            self.pool.home_at(self.at)
 
     def shown(self) -> dict[str, Any]:
         """The plan for people: the own zone's, what others say of theirs, and who sees what."""
--- /dev/null
+++ b/tests/failover/test_edge.py
@@ -0,0 +1,109 @@
+"""The failover's edge: new settings in the middle of a move, and what the operator's file may say."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from net_helpers import run
+
+from dykefold.failover.edge import Failover
+from dykefold.failover.options import Options
+from dykefold.fleet.pace import SECOND
+from dykefold.interface import Status
+from dykefold.operators import ServiceError, read_service
+from dykefold.sim.views import Views
+
+
+class FakePool:
+    """A pool of two servers in each of three zones; those of zone 0 may be given up on."""
+
+    def __init__(self) -> None:
+        self.attempted = None
+        self.lost = False
+        self.homes: list[int] = []
+
+    def placed(self) -> dict[int, int]:
+        return {0: 2, 1: 2, 2: 2}
+
+    def standing(self) -> dict[int, tuple[int, int]]:
+        return {0: (2, 2 if self.lost else 0), 1: (2, 0), 2: (2, 0)}
+
+    def zone_of(self, server: int) -> int | None:
+        return server // 2 if server < 6 else None
+
+    def answered_since(self, server: int, took_ns: int) -> bool:
+        return server == 0
+
+    def home_at(self, zone: int) -> None:
+        self.homes.append(zone)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_ns = SECOND
+
+    def monotonic_ns(self) -> int:
+        return self.now_ns
+
+
+def test_new_settings_in_the_middle_of_a_move_leave_it_where_it_works() -> None:
+    async def play() -> None:
+        world = Views(1, 1)
+        pool, clock = FakePool(), Clock()
+        made = Failover(
+            asyncio.get_running_loop(),
+            world.start(0),
+            pool,
+            list("abc"),
+            0,
+            Options(True),
+            clock,  # type: ignore[arg-type]
+        )
+        made.at = 1
+        made.retune(list("abc"), 0, Options(True))
+        assert pool.homes == [1]  # the settings had named the old one again
+        made.retune(list("abc"), 2, Options(True))
+        assert (made.home, made.at, made.course.origin) == (2, 2, 2)
+        assert pool.homes == [1]
+        made.close()
+
+    run(play())
+
+
+def test_attempts_are_told_by_what_came_of_them() -> None:
+    async def play() -> None:
+        pool, clock = FakePool(), Clock()
+        made = Failover(
+            asyncio.get_running_loop(),
+            Views(1, 1).start(0),
+            pool,
+            list("abc"),
+            0,
+            Options(True),
+            clock,  # type: ignore[arg-type]
+        )
+        aim_ns = SECOND
+        for server, status, took_ns in (
+            (0, Status.OK, 1), (0, Status.OK, 2 * SECOND), (0, Status.FULL, 1), (0, Status.TIMEOUT, SECOND),
+            (0, Status.CANCELLED, 1), (0, Status.MOOT, 1), (99, Status.OK, 1), (1, Status.TIMEOUT, SECOND),
+            (1, Status.RESET, 1),
+        ):  # fmt: skip
+            pool.attempted(server, status, took_ns, aim_ns)  # type: ignore[misc]
+        assert made.evidence.counts == {0: [1.0, 2.0, 1.0]}  # what is lost is counted by servers
+        made.close()
+
+    run(play())
+
+
+def test_the_file_is_checked_with_the_rest(tmp_path) -> None:
+    path = tmp_path / "service.toml"
+    path.write_text('[failover]\non = true\nout = "a"\n')
+    with pytest.raises(ServiceError) as error:
+        read_service(str(path))
+    assert [problem.partition(":")[0] for problem in error.value.problems] == [
+        "failover.out = 'a'",
+        "failover.on",
+    ]
+    path.write_text('[fleet]\nview = true\n[failover]\non = true\nout = ["a"]\nregions = {a = "x"}\n')
+    assert read_service(str(path)).fleet.failover == Options(True, {"a": "x"}, frozenset({"a"}))
