Failover: a moment's evidence of earlier does not count for a later failure

Seen on reading: while all is well the course was not stepped, so that the first evidence of a failure stood on the time of one long before and moved a zone with no confirmation. Now it is forgotten then; test red without it.

--- a/dykefold/failover/edge.py
+++ b/dykefold/failover/edge.py
@@ -160,6 +160,7 @@
         quiet = not (wrong or told or self.options.out) and self.course.where is Where.HOME
         if quiet:
             self.verdicts = {}
+            self.course.rest()
             return  # all is well, and it costs nothing
         live = view.live(now_ns)
         by_zone = {number: zone_of(view.table.words[number]) for number in live}
--- a/dykefold/failover/plan.py
+++ b/dykefold/failover/plan.py
@@ -172,6 +172,10 @@
         self.to = to if self.level else {}
         return (self.level, self.part, self.to) != before
 
+    def rest(self) -> None:
+        """Nothing is wrong anywhere: evidence of earlier troubles is not held against what comes."""
+        self.bad_ns = self.good_ns = self.dissent_ns = None
+
     def _follow(self, now_ns: int, held: Sequence[int]) -> None:
         """Take what the middle one of those who tell for the zone holds, if that is another for long.
 
--- a/tests/failover/test_failover.py
+++ b/tests/failover/test_failover.py
@@ -123,6 +123,17 @@
     assert course.where is Where.HOME
 
 
+def test_evidence_of_an_earlier_moment_does_not_count_for_a_later_one() -> None:
+    course = Walk()
+    course.walk([V.DOWN], CONFIRM_NS // 2)
+    course.rest()
+    course.now_ns += 60 * SECOND
+    course.walk([V.DOWN], CONFIRM_NS // 2)
+    assert course.where is Where.HOME
+    course.walk([V.DOWN], CONFIRM_NS)
+    assert course.where is Where.AWAY
+
+
 def test_a_way_back_that_goes_badly_is_undone_at_once_and_a_zone_that_flaps_is_left_alone_for_longer() -> (
     None
 ):
