Cold start: who is about to call for what others told asks them nothing more; its edge is tested

Seen on reading: each record that came while a call was already set for a sign of others moved the start of the own slot again, without effect on that call but on the next span. Now such a record changes nothing. Test of the edge: no doubt without an open call, one call anew for a newer list, none for one that the service does not have.

--- a/dykefold/fleet/lists.py
+++ b/dykefold/fleet/lists.py
@@ -108,13 +108,15 @@
             return
         spans, answered_ns = priors.calls_told(view, now_ns)
         self.asking.take_spread(spans)
+        if self.later is not None:
+            return  # it is about to call
         due_ns = None
         failed_ns = self.asking.failed_ns
         if failed_ns is not None and answered_ns is not None and answered_ns > failed_ns:
             due_ns = self.asking.hurries_ns(now_ns, self.version)
-        elif self.later is None and self.calling and (newest := self._newest(now_ns)) is not None:
+        elif self.calling and (newest := self._newest(now_ns)) is not None:
             due_ns = self.asking.doubts_ns(now_ns, self.version, newest)
-        if due_ns is not None and self.later is None:
+        if due_ns is not None:
             wait_s = (due_ns - now_ns) / SECOND
             self.later = asyncio.get_running_loop().call_later(wait_s, self._ask_now)
 
--- a/tests/fleet/test_asking.py
+++ b/tests/fleet/test_asking.py
@@ -7,9 +7,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from net_helpers import run
 
+from dykefold.fleet import priors
 from dykefold.fleet.asking import GO_ON_NS, MOVED_MOST_NS, SILENT_NS, SPREAD_MOST, Asking
+from dykefold.fleet.lists import Lists
 from dykefold.fleet.pace import SECOND
+from dykefold.sim.views import Views
 
 MUST_NS = 10 * SECOND
 MOST_NS = int(MUST_NS * SPREAD_MOST)
@@ -127,3 +131,50 @@
         one.called(0, opens)
         assert one.was_answered(took_ns) is (times > 1)
         assert one.spread_ns(took_ns) == times * usual
+
+
+class FakeDiscovery:
+    def __init__(self) -> None:
+        self.version, self.closed, self.asked, self.schedule = 7, False, 0, None
+
+    def ask_now(self) -> None:
+        self.asked += 1
+        self.schedule.called()  # type: ignore[attr-defined]
+
+
+class Clock:
+    now_ns = SECOND
+
+    def monotonic_ns(self) -> int:
+        return self.now_ns
+
+
+def test_a_silent_call_is_made_anew_once_for_a_list_that_others_have() -> None:
+    async def play() -> None:
+        world = Views(3, 1)
+        for number in range(3):
+            world.start(number)
+        assert world.run(20 * SECOND, world.right)
+        clock, discovery, view = Clock(), FakeDiscovery(), world.living[0]
+        clock.now_ns = world.now_ns
+        lists = Lists(discovery, MUST_NS, 125.0, 0, 3, 1, clock)  # type: ignore[arg-type]
+        lists.join(view)
+        priors.say_list(world.living[1], world.now_ns, 9)
+        world.run(SECOND)
+        clock.now_ns = world.now_ns
+        lists.opens_s()
+        lists.heard()
+        assert lists.later is None  # no call is open yet: it has its slot
+        lists.called()
+        lists.heard()
+        assert lists.later is not None
+        waits = lists.later
+        lists.heard()
+        assert lists.later is waits
+        lists._ask_now()
+        assert discovery.asked == 1
+        lists.heard()
+        assert lists.later is None  # the service did not have it: no reason twice
+        lists.close()
+
+    run(play())
