--- a/dykefold/lab/fleet/run.py
+++ b/dykefold/lab/fleet/run.py
@@ -469,11 +469,12 @@
         lag = self.loop.create_task(self._watch_lag())
         starts = [self.loop.create_task(self.start(number)) for number in range(len(self.members))]
         await asyncio.wait(starts, timeout=READY_S)
+        self.start_lag_s = self.lag_s
         if any(fault.kind in ("kill", "term", "upgrade") for fault in self.scenario.faults):
             for member in self.members:
                 await member.prepare()
         began_s = self.loop.time()
-        self.start_lag_s, self.lag_s = self.lag_s, 0.0
+        self.lag_s = 0.0
         views = self.loop.create_task(self.watch.watch()) if self.watch is not None else None
         loads = [self.loop.create_task(desk.play()) for desk in self.desks]
         faults = [self.loop.create_task(self.fault(fault)) for fault in self.scenario.faults]
