--- a/dykefold/cli/fleet.py
+++ b/dykefold/cli/fleet.py
@@ -15,6 +15,11 @@
 
 TIMEOUT_S = 5.0
 
+At = Annotated[
+    str, typer.Option("--at", metavar="HOST:PORT", help="`listen` in [fleet] of the operator's file.")
+]
+AsJson = Annotated[bool, typer.Option("--json", help="One JSON object for programs.")]
+
 group = typer.Typer(no_args_is_help=True, help="See what sidecars know of their fleet.")
 
 
@@ -30,10 +35,8 @@
 
 @group.command()
 def view(
-    at: Annotated[
-        str, typer.Option("--at", metavar="HOST:PORT", help="`listen` in [fleet] of the operator's file.")
-    ],
-    as_json: Annotated[bool, typer.Option("--json", help="One JSON object for programs.")] = False,
+    at: At,
+    as_json: AsJson = False,
 ) -> None:
     """Show a sidecar's view: each member, its state, and the latest changes with their causes."""
     told = _ask(at, Action.VIEW, "members")
@@ -45,10 +48,8 @@
 
 @group.command()
 def plan(
-    at: Annotated[
-        str, typer.Option("--at", metavar="HOST:PORT", help="`listen` in [fleet] of the operator's file.")
-    ],
-    as_json: Annotated[bool, typer.Option("--json", help="One JSON object for programs.")] = False,
+    at: At,
+    as_json: AsJson = False,
 ) -> None:
     """Show where a sidecar's zone works and why, which zones others have left, and who sees what."""
     told = _ask(at, Action.PLAN, "works_in")
