Lists: a silent call is replaced before it is given up, all waits from one budget

What a silent watch misses counts as told 2 s after its wait of 20 s. At fault: ANSWER_WITHIN gave a watch 3.5 s beyond its wait, then the module paused (`_watch_later`, up to 0.4 of the time for asking whatever that is). Ruled out: the way of a drain into module and sockets (`_apply`, `Upstreams.update`), which the log shows within the millisecond of the answer. Change: a call that brings nothing in time is left open and another one made beside it; the first answer of either counts, in order of versions. Pushed lists are watched for 2.5 s at a time, as calls of the agent cost nothing. After a failure the next call comes within 1.5 s (2 s where calls are spread). After a move the old discovery is heard until the new one has told its list. An answer that is there when its call's time is up in a late loop is read.

--- a/dykefold/admission/budget.py
+++ b/dykefold/admission/budget.py
@@ -9,7 +9,7 @@
 
 LOOP = 16  # the event loop, standard streams, the listening socket, peers' datagrams
 ACCEPTING = 16  # accepted in one turn of the loop, before the closings that made room take effect
-CALLS = 2  # of discovery: a watch and a fetch
+CALLS = 3  # of discovery: a watch, one beside it when it is silent, and a fetch
 DISCOVERY = 2 * CALLS  # ... each at the old and at the new address across a change of it
 FILES = 3  # the configuration while it is read again, and what the runtime opens now and then
 SPARE = 1  # kept open only to be closed when the system has none left
--- a/dykefold/fleet/asking.py
+++ b/dykefold/fleet/asking.py
@@ -18,6 +18,7 @@
 
 SPREAD_MOST = 0.4  # of the time within which the rules want a call: one that fails leaves time for another
 MOVED_MOST_NS = 2 * SECOND  # ... after a new configuration: what the new one has to tell counts 4 s after it
+FAILED_MOST_NS = 2 * SECOND  # ... after a failure: a change counts as told 6 s later, and a call takes 3.5 s
 GO_ON_NS = 150_000_000  # a watch goes on if the next call comes within 200 ms of an answer (PROTOCOL)
 SLOWER = 2.0  # times the span after a failure, if any call of the fleet was answered since the last such
 LONG_NS = 100_000_000  # an answer to a call that begins a watch takes so long where many stand in front ...
@@ -101,6 +102,8 @@
         most = int(self.must_ask_ns * SPREAD_MOST)
         if self.moved:
             most = min(most, MOVED_MOST_NS)
+        if self.failed_ns is not None:
+            most = min(most, FAILED_MOST_NS)
         return min(max(int(self.fleet / self.calls_per_s * self.slower * SECOND), self.told_ns), most)
 
     def _settle(self, now_ns: int) -> None:
--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -137,6 +137,7 @@
 WATCH_SPREAD = 0.05  # the first call and the first repeat of it are spread over this
 WATCH_MOST = 0.4  # ... doubling up to this, so that two calls fit
 WATCH_LEAST = 0.1  # of the span at the least, to leave a failing registry alone
+WATCH_AGAIN = 1.5  # seconds at the most: after a failure a change counts as told 6 s later, whatever the span
 
 SECOND = 1_000_000_000
 
@@ -1324,6 +1325,7 @@
         if not self.settings.must_ask:
             return
         span = self.settings.must_ask_in_ns * min(WATCH_MOST, WATCH_SPREAD * 2**self.watch_fails)
+        span = min(span, WATCH_AGAIN * SECOND)
         self.watch_fails += 1
         self._at(self.now + int(span * self.random.uniform(WATCH_LEAST, 1.0)) + 1, WATCH)
 
--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -8,7 +8,6 @@
 import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from functools import partial
 from typing import Any, Protocol
 
 from ..admission.budget import CALLS, Allowance
@@ -20,12 +19,23 @@
 log = logging.getLogger("dykefold.discovery")
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
-WATCH_MS = 20_000
+# The budget of a change (docs/design/discovery.md): it counts as told 6 s after a watch fell silent or a call
+# failed, and not before 2 s after the end of a wait. So from the call on:
+#   asked:  wait 20 s, overdue 0.8 s, the answer to the call beside it 1.2 s; after a failure the module
+#           pauses 1.5 s at most, connect and answer take 3.5 s: 5 s
+#   pushed: wait 2.5 s, overdue 0.5 s, a further call each 0.25 s, as what the agent has counts at once
+WATCH_ASKED_MS = 20_000  # one service for all: a call of each process may take it 8 s
+WATCH_PUSHED_MS = 2_500  # the agent is on the own machine, and calls of it cost nothing
+WATCH_NOW_MS = 1  # of a call beside a silent one: whatever there is to tell, at once
+OVERDUE_ASKED = 0.8  # seconds beyond a watch's wait, until another call is made beside it
+OVERDUE_PUSHED = 0.5
+AGAIN_PUSHED = 0.25  # seconds until the agent is called again that did not answer at once, or failed
+OPEN_MOST = CALLS - 1  # calls of one watch that are out at once; the oldest goes
 ANSWER_WITHIN = 3.5  # seconds beyond a watch's own wait: discovery works through calls in turn
+READ_WITHIN = 0.1  # seconds more for an answer that has come and was not read yet
 CONNECT_WITHIN = 2.0
 LIST_MOST = 4 * 1024 * 1024
 CALLS_APART = 0.1  # seconds between calls that are answered at once with nothing new
-PUSHED_AGAIN = 0.5  # seconds until the agent on the own machine is asked again after a failure
 NAMES_MOST = 256  # zones, and kinds, that are told apart
 DISCOVERY = 0  # the one target of the calls' own connections
 
@@ -179,8 +189,64 @@
     def moved(self) -> None: ...
 
 
+class Call(Exchange):
+    """A call of discovery."""
+
+    __slots__ = ()
+
+    def expire(self) -> None:
+        """Its time is up, unless its answer is there and only this loop is late: it was told by then."""
+        connection = self.connection
+        if connection is not None and not connection.size and connection.came.poll(0):
+            assert self.deadlines is not None
+            self.deadlines.start(self, READ_WITHIN, connection.monotonic())
+        else:
+            super().expire()
+
+
+class Source:
+    """A discovery at one address, and how far its list is known."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], version: int | None, system: System
+    ) -> None:
+        self.address = address
+        self.host = f"{address[0]}:{address[1]}"
+        self.version = version  # None: a whole list is wanted first
+        self.taken = 0  # answers
+        # An allowance of its own: the cap on connections to servers must never keep the list from being read.
+        self.calls = Upstreams(loop, Allowance(CALLS), Memory(192 * MB), CONNECT_WITHIN, 30.0, system=system)
+        self.calls.update(DISCOVERY, address, 0, State.READY)
+
+    def in_order(self, news: News, taken: int) -> News:
+        """Guards the list against answers that come after a newer one to another call.
+
+        Args:
+            taken: answers that had been taken when the call went out.
+        """
+        if self.version is None:
+            if not news.complete:
+                raise ListError("changes came in place of the whole list")
+        elif news.version < self.version:
+            if taken != self.taken:
+                return News(self.version, False, [])
+            if not news.complete:
+                self.version = None
+                raise ListError("the index went back")
+        return news
+
+    def take(self, news: News) -> None:
+        self.version = news.version
+        self.taken += 1
+
+
 class Discovery:
-    """Watches and fetches when told to; any failure is news of its own and ends no watcher for good."""
+    """Watches and fetches when told to; any failure is news of its own and ends no watcher for good.
+
+    A call that brings nothing in time is left open, and another is made beside it: whichever is answered
+    first counts, and only then is the other one given up. So there is no moment in which something was told
+    that nobody reads any more, and a call that was given up had nothing to tell.
+    """
 
     def __init__(
         self,
@@ -195,50 +261,61 @@
         self.loop = loop
         self.system = system
         self.names = names
-        self.version: int | None = version  # None: a whole list is wanted first
         self.heard = heard
         self.pushed = pushed
         self.watching = False
-        self.round = 0  # of watching: a call of an earlier one goes on with nothing
-        self.taken = 0  # answers
+        self.round = 0  # of watching: what was planned in an earlier one is not done
         self.called = 0.0
         self.failing = False
         self.closed = False
         self.schedule: Schedule | None = None  # None: each call as soon as it is wanted
-        self.watch_call: Exchange | None = None
-        self._connect(address)
+        self.open: dict[Call, None] = {}  # of the watch, in the order in which they went out
+        self.latest: Call | None = None  # of these
+        self.source = Source(loop, address, version, system)
+        self.left: Source | None = None  # the one before, until this one has told its list
+        self.listed_by = self.source.host  # who told the list that is held
 
-    def _connect(self, address: tuple[str, int]) -> None:
-        self.address = address
-        self.host = f"{address[0]}:{address[1]}"
-        # An allowance of its own: the cap on connections to servers must never keep the list from being read.
-        self.calls = Upstreams(
-            self.loop, Allowance(CALLS), Memory(192 * MB), CONNECT_WITHIN, 30.0, system=self.system
-        )
-        self.calls.update(DISCOVERY, address, 0, State.READY)
+    @property
+    def version(self) -> int | None:
+        """Of the list that is known; None where a whole one is wanted first."""
+        return self.source.version
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.source.address
+
+    @property
+    def host(self) -> str:
+        return self.source.host
 
     def turn(self, address: tuple[str, int]) -> None:
         """Go over to another discovery at once, with a whole list first.
 
-        Guards against the new one's index having begun anew, and against answers of the old one, which
-        counts no longer and soon closes its connections.
+        Guards against the new one's index having begun anew. What the old one still tells on the watch that
+        is open counts until the new one has told its list, which may take a while; it is asked no more.
         """
-        if self.closed or address == self.address:
+        if self.closed or address == self.source.address:
             return
         log.info("discovery is now at %s:%d", *address)
-        old = self.calls
-        self._connect(address)
-        old.close()
-        self.version = None
+        self._drop_left()
+        self.left, self.source = self.source, Source(self.loop, address, None, self.system)
+        self.open.clear()
+        self.latest = None
         self.watching = False
         if self.schedule is not None:
             self.schedule.moved()
         self.watch(True)
 
+    def _drop_left(self) -> None:
+        left, self.left = self.left, None
+        if left is not None:
+            left.calls.close()
+
     def adopt(self, version: int) -> None:
         """The list of this version has come another way: what is older is news no more."""
-        self.version = version
-        self.taken += 1
+        self.source.version = version
+        self.source.taken += 1
+        self.listed_by = self.source.host
 
     def watch(self, on: bool) -> None:
         if on == self.watching:
@@ -249,92 +326,110 @@
             self._next_in(self.schedule.opens_s() if self.schedule is not None else 0.0)
 
     def ask_now(self) -> None:
-        """Begin a watch at once, in the place of one that is open or that is waited for."""
+        """Make a call at once, beside one that is open or in the place of one that is waited for."""
         if self.closed:
             return
         self.watching = True
         self.round += 1
-        if self.watch_call is not None:
-            self.watch_call.give_up(Status.CANCELLED)
-        self._next_watch(self.round)
+        self._next_watch(self.round, WATCH_NOW_MS if self.open else self._wait_ms())
+
+    def _wait_ms(self) -> int:
+        return WATCH_PUSHED_MS if self.pushed else WATCH_ASKED_MS
 
     def _next_in(self, wait_s: float) -> None:
         if wait_s > 0.0:
-            self.loop.call_later(wait_s, self._next_watch, self.round)
+            self.loop.call_later(wait_s, self._next_watch, self.round, self._wait_ms())
         else:
-            self._next_watch(self.round)
+            self._next_watch(self.round, self._wait_ms())
 
     def fetch(self) -> None:
         self._call("/api/targets", ANSWER_WITHIN, self._fetched)
 
-    def _next_watch(self, number: int) -> None:
-        if number != self.round:
+    def _next_watch(self, number: int, wait_ms: int) -> None:
+        if number != self.round or self.closed:
             return
         self.called = self.system.monotonic()
-        target, within = "/api/targets", ANSWER_WITHIN
+        target, wait_s = "/api/targets", 0.0
         if self.version is not None:
-            target += f"?after={self.version}&wait_ms={WATCH_MS}"
-            within += WATCH_MS / 1000
-        self.watch_call = self._call(target, within, partial(self._watched, number))
-
-    def _call(self, target: str, within: float, done: Callable[[News | None, str], None]) -> Exchange:
-        payload = f"GET {target} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
-        calls, taken = self.calls, self.taken
-
-        def ended(_: Exchange, status: Status, answer: Answer | None) -> None:
-            if calls is not self.calls or self.closed:
+            target += f"?after={self.version}&wait_ms={wait_ms}"
+            wait_s = wait_ms / 1000
+        self.latest = None  # what ends from here on makes room, and is no failure
+        while len(self.open) >= OPEN_MOST:
+            next(iter(self.open)).give_up(Status.CANCELLED)
+        call = self.latest = self._call(target, wait_s + ANSWER_WITHIN, self._watched)
+        self.open[call] = None
+        waits = wait_s > 0.0 and wait_ms != WATCH_NOW_MS
+        if self.pushed:
+            overdue_s = wait_s + OVERDUE_PUSHED if waits else AGAIN_PUSHED
+            self.loop.call_later(overdue_s, self._overdue, number, call)
+        elif waits:  # the service gives others their turn first: one that should not wait has its time
+            self.loop.call_later(wait_s + OVERDUE_ASKED, self._overdue, number, call)
+
+    def _overdue(self, number: int, call: Call) -> None:
+        """Guards against a watch that has fallen silent, and what it misses counts as told."""
+        if call is self.latest and not call.ended:
+            self._next_watch(number, WATCH_NOW_MS)
+
+    def _call(self, target: str, within: float, done: Callable[[Call, News | None, str], None]) -> Call:
+        source = self.source
+        payload = f"GET {target} HTTP/1.1\r\nHost: {source.host}\r\nAccept: application/json\r\n\r\n".encode()
+        taken = source.taken
+
+        def ended(call: Exchange, status: Status, answer: Answer | None) -> None:
+            if self.closed or (source is not self.source and source is not self.left):
                 return  # an answer of a discovery that has been left
             news, reason = None, status.name
             if status is Status.OK and answer is not None:
                 try:
-                    news = self._in_order(read_news(json.loads(answer.body), self.names), taken)
+                    news = source.in_order(read_news(json.loads(answer.body), self.names), taken)
                 except (ValueError, RecursionError) as error:
                     reason = str(error)
             elif answer is not None:
                 reason = f"answer {answer.code}"
-            done(news, reason)
+            if source is self.source:
+                done(call, news, reason)  # type: ignore[arg-type]
+            elif news is not None:
+                self._take(source, news)
 
         if self.schedule is not None:
             self.schedule.called()
-        exchange = Exchange(payload, ended, LIST_MOST)
-        calls.start(DISCOVERY, exchange, within)
-        return exchange
+        call = Call(payload, ended, LIST_MOST)
+        source.calls.start(DISCOVERY, call, within)
+        return call
 
-    def _in_order(self, news: News, taken: int) -> News:
-        """Guards the list against answers that come after a newer one to a later call."""
-        if self.version is None:
-            if not news.complete:
-                raise ListError("changes came in place of the whole list")
-        elif news.version < self.version:
-            if taken != self.taken:
-                return News(self.version, False, [])
-            if not news.complete:
-                self.version = None
-                raise ListError("the index went back")
-        return news
-
-    def _watched(self, number: int, news: News | None, reason: str) -> None:
-        if number != self.round:
+    def _watched(self, call: Call, news: News | None, reason: str) -> None:
+        self.open.pop(call, None)
+        if news is None:
+            if call is self.latest:  # else another is out, or the next one is planned
+                self._note(None, reason)
+                self.watch(False)
+                if self.pushed:  # nobody asks the agent but this; the module only waits for what it tells
+                    self.loop.call_later(AGAIN_PUSHED, self.watch, True)
+                self.heard(None)
             return
         self._note(news, reason)
-        if news is None:
-            self.watch(False)
-            if self.pushed:  # nobody asks the agent but this; the module only waits for what it tells
-                self.loop.call_later(PUSHED_AGAIN, self.watch, True)
+        self.latest = None
+        for other in list(self.open):  # what they would tell is in this answer, or in the next
+            other.give_up(Status.CANCELLED)
+        self.watching = True
+        self.round += 1  # a call that was planned is not wanted
+        number = self.round
         try:
-            self._take(news)
+            self._take(self.source, news)
         finally:
-            if news is not None:
-                # Guards against asking an agent in a tight loop; a pause within 200 ms ends no watch.
-                pause = 0.0 if news.entries else CALLS_APART - (self.system.monotonic() - self.called)
-                if self.schedule is not None:
-                    pause = max(pause, self.schedule.goes_on_s())
-                if number == self.round:
-                    self._next_in(pause)
-
-    def _fetched(self, news: News | None, reason: str) -> None:
+            # Guards against asking an agent in a tight loop; a pause within 200 ms ends no watch.
+            pause = 0.0 if news.entries else CALLS_APART - (self.system.monotonic() - self.called)
+            if self.schedule is not None:
+                pause = max(pause, self.schedule.goes_on_s())
+            if number == self.round:
+                self._next_in(pause)
+
+    def _fetched(self, _: Call, news: News | None, reason: str) -> None:
         self._note(news, reason)
-        self._take(news)
+        if news is None:
+            self.heard(None)
+        else:
+            self._take(self.source, news)
 
     def _note(self, news: News | None, reason: str) -> None:
         """Log the first failure and the recovery: an outage lasts, and what it says does not change."""
@@ -350,13 +445,15 @@
             else:
                 log.info("discovery answers again")
 
-    def _take(self, news: News | None) -> None:
-        if news is not None:
-            self.version = news.version
-            self.taken += 1
+    def _take(self, source: Source, news: News) -> None:
+        source.take(news)
+        self.listed_by = source.host
+        if source is self.source:
+            self._drop_left()
         self.heard(news)
 
     def close(self) -> None:
         self.closed = True
         self.watch(False)
-        self.calls.close()
+        self.source.calls.close()
+        self._drop_left()
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import struct
+import time
 from dataclasses import dataclass, field
 
 import uvloop
@@ -36,6 +37,21 @@
     assert true(), what
 
 
+def stand_still(loop, seconds, meanwhile):
+    """Keep the loop from its next turn, in the midst of reading sockets: timers come first after that."""
+    ours, theirs = socket.socketpair()
+
+    def read():
+        loop.remove_reader(theirs.fileno())
+        meanwhile()
+        time.sleep(seconds)
+        ours.close()
+        theirs.close()
+
+    loop.add_reader(theirs.fileno(), read)
+    ours.send(b"x")
+
+
 @dataclass
 class Got:
     """A message as a fake peer or client received it."""
