Nothing is sent for clients that left or keys whose window is over; orderly closes

A request in the socket of an idle connection is served, not closed upon; so is one of which half has come at the planned end. - Whether the last byte of an attempt has gone was read from a flag that uvloop sets a turn late: the last byte is kept back until all before it has gone. - A second answer that comes late was taken for the next request's: connections rest behind answers once a server was seen to send more than one. The first such answer of all can still be mistaken. - Names of classes that a path has to escape were not known. Ruled out: a rejected client that reads slowly and never closes (its test was green before too), half-closed clients of `serve`. The simulation judges attempts for clients that left.

--- a/dykefold/admission/clients.py
+++ b/dykefold/admission/clients.py
@@ -49,7 +49,13 @@
         """The requests of it that are not over."""
         ...
 
-    def close(self) -> None: ...
+    def close(self) -> None:
+        """Close at once."""
+        ...
+
+    def leave(self) -> None:
+        """Close in such a way that nothing on its way is lost; not at all if it has just asked again."""
+        ...
 
     def expire(self) -> None: ...
 
@@ -148,7 +154,10 @@
             else:
                 self.admission.offence(client.address, now)
                 guest.expire()
-        self._let_go(self.admission.unused(now))
+        for client in self.admission.unused(now):
+            guest = self.all.get(client)
+            if guest is not None:
+                guest.leave()
         self._let_go(self.admission.surplus(now))
 
     def note(self, reason: Reason, host: str) -> None:
--- a/dykefold/net/dialect.py
+++ b/dykefold/net/dialect.py
@@ -8,6 +8,7 @@
 from functools import lru_cache
 from hashlib import blake2b
 from typing import Any
+from urllib.parse import unquote_to_bytes
 
 import httptools
 
@@ -147,6 +148,8 @@
                 raise RequestError(400, "the target is no path") from None
         name = path[1:].split(b"/", 1)[0].split(b"?", 1)[0]
         cls = self.classes.get(name)
+        if cls is None and b"%" in name:  # a name that a path has to escape (RFC 3986, 2.1)
+            cls = self.classes.get(unquote_to_bytes(name))
         if cls is None:
             raise FormError(404, "unknown class")
         spec = self.specs[cls]
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -321,8 +321,9 @@
         self.taking = False
         self._close_listener()
         for front in list(self.clients.all.values()):
-            if front.idle:
-                front.close()
+            # One that has begun a request is answered; so is one whose request is there and was not read.
+            if front.idle and not front.owes:
+                front.leave()
         self._end_if_done()
 
     def _end_if_done(self) -> None:
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 
 from ..admission.clients import Clients
 from ..admission.rules import Client
+from ..system import System, Watch
 from .backlog import SLICE_BYTES, Backlog, cut
 from .dialect import BODY_MOST, Call, Message, RequestError
 from .ends import NO_LINGER
@@ -29,6 +31,9 @@
 WAITING_MOST = 16  # requests that a client may send ahead of their answers before it is read no further
 SLOW_READER = 5.0  # seconds in which a client may read nothing of an answer
 LINGER = 2.0  # seconds in which a rejected client may still send, unheard, and read why
+FAREWELL = 0.3  # ... in which another one may see that its connection has ended, and close it
+END = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the client has ended its side, or all
+END_BOTH = select.POLLHUP | select.POLLERR
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 BODILESS = frozenset((204, 304))  # answers that have no body and need no length (RFC 9110, 8.6)
 READY_TARGET = b"/-/ready"
@@ -88,6 +93,11 @@
         """Seconds that pass evenly."""
         ...
 
+    @property
+    def system(self) -> System:
+        """The machine's clocks and sockets."""
+        ...
+
     @property
     def now(self) -> Callable[[], int]:
         """Nanoseconds on the clock that deadlines are told in."""
@@ -124,8 +134,10 @@
         "current",
         "deaf",
         "doubled",
+        "end",
         "ends_with",
         "engine",
+        "farewell_s",
         "headers",
         "held_size",
         "in_body",
@@ -176,6 +188,8 @@
         self.source: Paced | None = None  # of the answer that is being passed on
         self.ends_with: bytes | None = None  # what its last byte is followed by; None: it has a length
         self.stays = True  # open after it
+        self.end: Watch | None = None  # on the client's end, once it was asked for
+        self.farewell_s = 0.0  # for which the other side is waited for, once this one has ended; 0 before
         self._begin()
 
     def _begin(self) -> None:
@@ -286,7 +300,7 @@
             self._pump()
             self.engine.clients.place(self)
         elif self.idle:
-            self.close()
+            self.leave()
 
     def eof_received(self) -> bool:
         between = not self.owes and self.unfed is None
@@ -336,12 +350,14 @@
         if self.slow is not None:
             self.slow.cancel()
             self.slow = None
+        if self.farewell_s:  # the time begins when the last of it has gone
+            self.slow = self.engine.loop.call_later(self.farewell_s, self.close)
         if self.source is not None:
             self.source.block(False)
         self._pump()
         self.engine.clients.place(self)
         if self.idle and (self.over or not self.engine.taking):
-            self.close()
+            self.leave()
 
     # The parser's calls
 
@@ -662,21 +678,54 @@
         if not keep_alive:
             self._leave()
 
+    def leave(self) -> None:
+        """Close while nothing of this client is open, unless something of it waits to be read."""
+        if self.transport is None:
+            self.leaving = True
+        elif not self._watch_end().poll(0):
+            self._leave()
+            self.engine.clients.place(self)
+
+    def gone(self) -> bool:
+        """Whether the client has closed, also where that stands behind what was not read yet.
+
+        Guards servers against work that nobody waits for: the end of a client that is read no further, or
+        that came while this loop stood still, is not heard before timers have fired.
+        """
+        if self.closed or self.transport is None:
+            return self.closed
+        found = self._watch_end().poll(0)
+        if not found or not found[0][1] & (END_BOTH if self.engine.half_close else END):
+            return False
+        self.engine.loop.call_soon(self.close)
+        return True
+
+    def _watch_end(self) -> Watch:
+        if self.end is None:
+            assert self.transport is not None
+            self.end = self.engine.system.watch_end(self.transport.get_extra_info("socket"))
+        return self.end
+
     def _leave(self) -> None:
-        """Close behind the last answer."""
+        """End the connection behind the last answer: its own side first, the rest once that was seen.
+
+        Guards answers that are still on their way against a reset, which is what a close makes of bytes
+        that come meanwhile (RFC 9112, 9.6). What is read from here on is not taken.
+        """
         if self.transport is None or self.transport.is_closing():
             return
         self.waiting.clear()
-        if self.deaf:
-            # Guards an early answer such as 413 against being lost: closing with input unread resets.
-            self.transport.write_eof()
-            self.slow = self.slow or self.engine.loop.call_later(LINGER, self.close)
-        else:
-            self.deaf = True
-            self.transport.close()  # once what was written has gone
+        self.farewell_s = LINGER if self.deaf else FAREWELL
+        self.deaf = True
+        self.transport.write_eof()  # once what was written has gone
+        if self.slow is None:
+            self.slow = self.engine.loop.call_later(self.farewell_s, self.close)
+        if self.paused:  # or the client's end would not be seen
+            self.paused = False
+            self.transport.resume_reading()
 
     def _write(self, data: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing():
+        if self.transport is not None and not self.farewell_s and not self.transport.is_closing():
             self.transport.write(data)
 
     def close(self, reset: bool = False) -> None:
--- a/dykefold/net/idle.py
+++ b/dykefold/net/idle.py
@@ -24,6 +24,36 @@
 SPARE_APART_S = 1.0  # between cuts: the first has to show before the next
 SPARE_DOUBLE_S = 10.0  # in which the age doubles again, some refusals later than it was cut
 
+REST_LEAST_S = 0.005  # after an answer, once servers were seen to send more than one ...
+REST_TIMES = 2.0  # ... or times the latest that more came
+REST_MOST_S = 0.05  # bytes that come later are no second answer, but the server's word on an idle connection
+REST_FOR_S = 60.0  # after the last of these
+
+
+class Rest:
+    """How long a connection rests after an answer before it carries the next request.
+
+    A server that answers twice, the second time some milliseconds late, answers the next request on that
+    connection with what was made for the one before, and nothing in HTTP/1.1 tells. Where servers were seen
+    to do so, what still comes of an answer is given its time to show.
+    """
+
+    def __init__(self) -> None:
+        self.limit_s = 0.0  # 0: it may be used at once
+        self.seen_at_s = -math.inf
+
+    def seen(self, after_s: float, now_s: float) -> None:
+        """More came than an answer, so long after its end."""
+        if after_s <= REST_MOST_S:
+            self.limit_s = max(self.limit(now_s), REST_LEAST_S, REST_TIMES * after_s)
+            self.seen_at_s = now_s
+
+    def limit(self, now_s: float) -> float:
+        """The time for which a connection rests, seconds."""
+        if self.limit_s and now_s - self.seen_at_s > REST_FOR_S:
+            self.limit_s = 0.0
+        return self.limit_s
+
 
 class Spare:
     """How long a connection may stand idle while others may lack it.
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -48,6 +48,10 @@
 
     client: Client
 
+    def gone(self) -> bool:
+        """Whether it has left, though that was not heard yet: nothing more is to be sent for it."""
+        ...
+
     def answer(self, call: Call, code: int, headers: bytes, body: bytes) -> None:
         """The one final answer; a later one has no effect."""
         ...
@@ -100,7 +104,7 @@
 class Attempt(Exchange):
     """One try of a request at one server."""
 
-    __slots__ = ("answered_ns", "held", "moved", "number", "sent_ns", "server")
+    __slots__ = ("answered_ns", "held", "moved", "number", "sent_ns", "server", "write_by_ns")
 
     def __init__(self, held: Held, number: int, server: int, sent_ns: int) -> None:
         super().__init__(b"", held.ended, BODY_MOST)
@@ -113,6 +117,7 @@
         self.sent_ns = sent_ns
         self.answered_ns = 0  # when an answer began that is passed on as it comes
         self.moved = -1  # bytes of what flows, when they were last looked at
+        self.write_by_ns = 0  # when a connection comes later than this it is not written; 0: no such time
 
     def expire(self) -> None:
         """Its time is up; while something flows that is no time in all, but one in which nothing moved.
@@ -137,6 +142,12 @@
             return self.connection.blocked or self.moved != before
         return not self.connection.unwritten or self.moved != before
 
+    def wanted(self) -> bool:
+        pool = self.held.pool
+        if self.write_by_ns and pool.now() >= self.write_by_ns:
+            return False  # it would be a second effect: its key is remembered no longer
+        return not self.held.asker.gone()
+
     def limit(self, after_s: float) -> None:
         """Give it another time limit, from now on."""
         if self.deadlines is not None and not self.ended:
@@ -195,6 +206,7 @@
         "out",
         "owed",
         "pool",
+        "ran_ns",
     )
 
     def __init__(self, ident: int, call: Call, asker: Asker, pool: Pool) -> None:
@@ -208,6 +220,7 @@
         self.out = 0  # of these, attempts that have not ended
         self.claims = 1  # descriptors set aside for it
         self.may_have_run = False  # some attempt has ended without a proof that it did not
+        self.ran_ns = 0  # when the first of these began
         self.owed = True  # its final answer
         self.answering = False  # which has begun to be passed on
         self.error: Answer | None = None  # what a server said of its failure, where that is passed on
@@ -479,9 +492,15 @@
         held = self.held.get(call.ticket)
         if held is None:
             return False
+        streams = call.upload is not None or held.answering
         self._settle(held)
+        # What was not written yet never is; the module hears of that first, as of the end that it is.
+        for number in range(held.attempts):
+            attempt = self.attempts.get((held.id, number))
+            if attempt is not None:
+                self.upstreams.abandon(attempt.server, attempt)
         self.post(api.Dropped(held.id))
-        if call.upload is not None or held.answering:
+        if streams:
             # Nobody sends its body or reads its answer any more, so no end of its own would come.
             for number in range(held.attempts):
                 attempt = self.attempts.get((held.id, number))
@@ -521,12 +540,27 @@
         # What the module takes for late says nothing of a body that is still on its way.
         bound = action.timeout_ns > 0 and upload is None
         wait = min(action.timeout_ns, last) if bound else last
-        if held.attempts > held.most or wait <= 0 or not self._claim_attempt(held):
+        if held.may_have_run or held.out > 1:
+            attempt.write_by_ns = self._window_end(held)
+        if held.attempts > held.most or wait <= 0 or not attempt.wanted() or not self._claim_attempt(held):
             attempt.end(Status.MOOT)
             return
         attempt.payload = self._payload(held.call, held.call.wait_ns if flows else wait)
         self.upstreams.start(action.server, attempt, wait / SECOND)
 
+    def _window_end(self, held: Held) -> int:
+        """When a keyed request's key may be forgotten, by its first attempt that may have run; 0 for others.
+
+        Guards against a repeat that is decided on in time, and written when its connection came up later.
+        """
+        spec = self.settings.classes[held.call.cls]
+        if spec.effect is not api.Effect.KEYED:
+            return 0
+        out = [self.attempts.get((held.id, number)) for number in range(held.attempts - 1)]
+        first_ns = min((attempt.sent_ns for attempt in out if attempt is not None), default=held.ran_ns)
+        first_ns = min(first_ns, held.ran_ns) if held.ran_ns else first_ns
+        return first_ns + spec.window_ns - self.settings.tick_ns
+
     def _claim_attempt(self, held: Held) -> bool:
         """Whether a descriptor is set aside for one more attempt: always, unless two may be out at once."""
         if held.claims < held.out:
@@ -564,6 +598,7 @@
             status = self._of_part(held, upload, status)
         if status not in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT):
             held.may_have_run = True
+            held.ran_ns = min(held.ran_ns or attempt.sent_ns, attempt.sent_ns)
         report: tuple[float, ...] = ()
         if answer is not None:
             if answer.load and self.reports.columns:
@@ -660,7 +695,7 @@
 
     def list_word(self) -> dict[str, Any]:
         """The list as discovery has told it, with the discovery that its version counts at."""
-        at = self.discovery.host if self.discovery is not None else ""
+        at = self.discovery.listed_by if self.discovery is not None else ""
         return {"discovery": at, **write_news(self.version, self.maintenance.listed.values(), self.names)}
 
     def adopt_list(self, word: Mapping[str, Any]) -> None:
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -21,7 +21,7 @@
 from .backlog import SLICE_BYTES, Backlog, cut
 from .deadlines import Deadlines, Limited
 from .ends import sever
-from .idle import Ages, Spare
+from .idle import Ages, Rest, Spare
 from .limits import Memory
 from .stream import Upload
 
@@ -114,6 +114,10 @@
     def expire(self) -> None:
         self.give_up(Status.TIMEOUT)
 
+    def wanted(self) -> bool:
+        """Whether it may still be written, now that a connection is there."""
+        return True
+
     def upload_begins(self) -> None:
         """Its body has begun to flow: it can't be sent again."""
 
@@ -133,7 +137,7 @@
         if self.opening is not None:
             self.opening.cancel()
         connection = self.connection
-        if connection is None or connection.unwritten:
+        if connection is None or connection.incomplete:
             status = Status.CONNECT_FAILED  # its last byte was never written: it cannot have run
         if connection is not None:
             connection.exchange = None
@@ -173,6 +177,7 @@
         "idle_since",
         "in_body",
         "keep_alive",
+        "last",
         "length",
         "load",
         "monotonic",
@@ -204,7 +209,8 @@
         self.monotonic = upstreams.monotonic
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
-        self.unwritten = False
+        self.unwritten = False  # bytes wait for its socket
+        self.last = b""  # of the exchange, kept back until all before it has gone
         self.closed = False
         self.idle_since = 0.0
         self.stood = -1.0  # seconds idle before the exchange that is on it; negative for its first
@@ -240,8 +246,6 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        # Any byte that waits for the socket pauses writing, so `unwritten` tells whether the last one
-        # has gone: the line between "never ran" and "may have run".
         transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
 
     def pause_writing(self) -> None:
@@ -249,9 +253,26 @@
 
     def resume_writing(self) -> None:
         self.unwritten = False
-        if self.exchange is not None and self.exchange.upload is not None:
+        if self.last:
+            self._write_last()
+        elif self.exchange is not None and self.exchange.upload is not None:
             self.exchange.upload.flow()
 
+    def _write_last(self) -> None:
+        """Let go of the byte that was kept back: from here on the exchange may have run."""
+        last, self.last = self.last, b""
+        self.write_on(last)
+
+    @property
+    def incomplete(self) -> bool:
+        """Whether some of its exchange was never let go of: the line between never ran and may have run.
+
+        What the transport buffers may have gone before it says so (uvloop tells a turn of the loop later),
+        so the last byte is kept back here until all before it has gone.
+        """
+        upload = self.exchange.upload if self.exchange is not None else None
+        return bool(self.last) or (upload is not None and not upload.sent)
+
     def write_on(self, data: bytes) -> None:
         """Write more of the exchange that is on it."""
         if self.transport is not None and not self.transport.is_closing():
@@ -316,6 +337,9 @@
 
     def _feed(self, data: bytes, more: bool) -> None:
         if self.exchange is None:
+            if self.idle_since:
+                now = self.monotonic()
+                self.upstreams.rest.seen(now - self.idle_since, now)
             self.close()  # bytes that nobody asked for: what follows could be taken for another's answer
             return
         self.size += len(data)
@@ -498,17 +522,24 @@
         exchange.connection = self
         self.blocked = False
         if sent < len(exchange.payload):
-            self.unwritten = True
-            assert self.transport is not None
-            self.transport.write(memoryview(exchange.payload)[sent:])
-            if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
-                self.unwritten = False
+            self._write_rest(exchange, sent)
         if exchange.upload is not None and exchange.upload.attach(
             self, lambda: exchange.give_up(Status.RESET)
         ):
             exchange.upload_begins()
         return True
 
+    def _write_rest(self, exchange: Exchange, sent: int) -> None:
+        assert self.transport is not None
+        self.unwritten = True
+        rest = memoryview(exchange.payload)[sent:]
+        if exchange.upload is None:  # else its last byte is the last of the body
+            rest, self.last = rest[:-1], exchange.payload[-1:]
+        if rest:
+            self.transport.write(rest)
+        if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
+            self.resume_writing()
+
     def _finish(self) -> None:
         exchange, answer = self.exchange, self.whole
         assert exchange is not None and answer is not None
@@ -522,6 +553,8 @@
         if self.blocked:  # by its last piece: who would let it go on is answered, and it serves others now
             self.block(False)
         written = not self.unwritten and (exchange.upload is None or exchange.upload.sent)
+        if self.stray:
+            self.upstreams.rest.seen(0.0, now)
         if self.keep_alive and written and not self.stray:
             self.upstreams.keep(self, now)
         else:
@@ -539,11 +572,11 @@
 
     def _break(self) -> None:
         """The connection is of no more use; what was on it has no whole answer."""
+        never = self.incomplete
         exchange, self.exchange = self.exchange, None
         now = self.monotonic()
         if exchange is not None and self.stood >= 0.0 and not self.size and now - self.sent_at < DEAD_WITHIN:
             self.target.ages.note(self.stood, True, now)
-        never = self.unwritten
         self.close()
         if exchange is not None:
             exchange.end(Status.CONNECT_FAILED if never else Status.RESET)
@@ -604,6 +637,7 @@
         self.connect_timeout = connect_timeout
         self.idle_most = idle_most * IDLE_PART
         self.spare = Spare(self.idle_most)
+        self.rest = Rest()
         self.ages = Ages(self.idle_most)  # of all servers
         self.kinds: dict[int, Ages] = {}  # ... and of those of one kind
         self.targets: dict[int, Target] = {}
@@ -663,8 +697,7 @@
         now = self.monotonic()
         exchange.deadlines = self.deadlines
         self.deadlines.start(exchange, timeout, now)
-        while target.idle:
-            connection = self._take_idle(target)
+        while target.idle and (connection := self._take_idle(target, now)) is not None:
             if now - connection.idle_since > target.ages.limit_s:
                 connection.close()  # and so have all others of this server stood for too long
                 continue
@@ -715,6 +748,8 @@
             connection.close()
         finally:
             target.opening.pop(exchange, None)
+        if exchange.connection is None and not (exchange.ended or exchange.wanted()):
+            exchange.end(Status.MOOT)
         if exchange.ended or exchange.connection is not None:  # it is over, or took one that came free
             self.keep(connection, self.monotonic())
         elif connection.closed or not connection.send(exchange, self.monotonic()):
@@ -731,9 +766,14 @@
         # One that waits for a connection of its own need not: the one that is being made is kept instead.
         # Guards against one that was given up while the loop took its connection over: it is in `opening`
         # until that is done, has been reported as never run, and may be out again elsewhere.
-        while target.opening and (exchange := next(iter(target.opening))).ended:
-            del target.opening[exchange]
-        if target.opening:
+        while target.opening:
+            exchange = next(iter(target.opening))
+            if not exchange.ended and exchange.wanted():
+                break
+            self._let_be(target, exchange)
+            self.loop.call_soon(exchange.end, Status.MOOT)
+        # One that has just answered may have to rest; one that was made and carried nothing need not.
+        if target.opening and (not connection.sent_at or not self.rest.limit(now)):
             exchange = next(iter(target.opening))
             if connection.send(exchange, now):
                 made = target.opening.pop(exchange)
@@ -746,6 +786,23 @@
         target.idle[connection] = None
         self.idle[connection] = None
 
+    def abandon(self, server: int, exchange: Exchange) -> None:
+        """Nobody waits for an exchange any more: one that was not written yet never is.
+
+        The connection that is being made for it is kept for others, and says nothing of its server.
+        """
+        target = self.targets.get(server)
+        if exchange.connection is None and not exchange.ended:
+            if target is not None and exchange in target.opening:
+                self._let_be(target, exchange)
+            exchange.end(Status.MOOT)
+
+    def _let_be(self, target: Target, exchange: Exchange) -> None:
+        """Take an exchange that is not to be written from those that wait for a connection."""
+        made = target.opening.pop(exchange)
+        if exchange.opening is not None:
+            self.unneeded[made] = exchange
+
     def dropped(self, connection: Connection) -> None:
         """A connection closes: from here on it is neither counted nor used."""
         self.connections.pop(connection, None)
@@ -759,8 +816,14 @@
             for connection in list(target.idle):
                 connection.close()
 
-    def _take_idle(self, target: Target) -> Connection:
-        """The most recently used: it is the least likely to have been closed meanwhile."""
+    def _take_idle(self, target: Target, now: float) -> Connection | None:
+        """The most recently used that has rested: it is the least likely to have been closed meanwhile."""
+        if self.rest.limit_s:
+            before = now - self.rest.limit(now)
+            rested = (one for one in reversed(target.idle) if one.idle_since <= before)
+            if (found := next(rested, None)) is None:
+                return None
+            target.idle.move_to_end(found)
         connection, _ = target.idle.popitem()
         del self.idle[connection]
         return connection
--- a/dykefold/sim/apps.py
+++ b/dykefold/sim/apps.py
@@ -199,6 +199,8 @@
     def _leave(self, connection: AppConnection, asked: Asked) -> None:
         if asked in connection.open:
             self.run.kernel.note(f"{self.name} leaves {asked.ident}")
+            for each in connection.open:
+                self.run.rules.left(self.run.kernel.now_ns, each.ident)
             connection.left = True
             connection.transport.abort()
 
--- a/dykefold/sim/process.py
+++ b/dykefold/sim/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import signal
 from typing import TYPE_CHECKING, Any
 
@@ -35,6 +36,22 @@
 KILL_AFTER_NS = 1_950 * MS  # after SIGTERM: the longest deadline and 0.7 s more (PROTOCOL, figures)
 
 
+class EndWatch:
+    """What `poll` tells of a virtual socket, its other side's end included."""
+
+    def __init__(self, sock: SimSocket) -> None:
+        self.sock = sock
+
+    def poll(self, _timeout: float) -> list[tuple[int, int]]:
+        sock = self.sock
+        events = select.POLLIN if sock.readable() else 0
+        if sock.got_end:
+            events |= select.POLLRDHUP
+        if sock.error:
+            events |= select.POLLERR | select.POLLHUP
+        return [(sock.number, events)] if events else []
+
+
 class SimSystem(System):
     """The machine of one virtual process."""
 
@@ -57,6 +74,9 @@
     def watch(self, sock: Any) -> Watch:
         return sock
 
+    def watch_end(self, sock: Any) -> Watch:
+        return EndWatch(sock)
+
     def open_spare(self) -> int:
         return self.loop.network.socket(self.loop).number
 
--- a/dykefold/sim/rules.py
+++ b/dykefold/sim/rules.py
@@ -14,6 +14,7 @@
 
 MS = 1_000_000
 ANSWER_SLACK_NS = 50 * MS  # beyond a client's time, as PROTOCOL says of each limit on sockets
+LEFT_SLACK_NS = 110 * MS  # after a client closed, an attempt may still begin; its end takes a while to arrive
 DRAIN_SLACK_NS = 50 * MS
 COLD_SLACK = 3.0  # requests beyond the budget of a cold server: for chance, since each is a whole one
 KEPT_NS = 20_000 * MS  # ids and attempts are kept this long: longer than any deadline, window or grace
@@ -50,6 +51,7 @@
     tries: list[Try] = field(default_factory=list)
     effects: list[tuple[str, int]] = field(default_factory=list)  # server and time of each run
     answers: int = 0
+    left_ns: int = -1  # when its client closed its connection; negative: it waits
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +138,12 @@
         """A request that the sidecar had read was never answered."""
         self.breach(at_ns, "one answer", f"{ident} was lost: {how}")
 
+    def left(self, at_ns: int, ident: str) -> None:
+        """The client of a request has closed its connection."""
+        story = self.stories.get(ident)
+        if story is not None:
+            story.left_ns = at_ns
+
     def stray(self, at_ns: int, client: str, data: bytes) -> None:
         """A client got bytes that it had asked nothing for."""
         self.breach(at_ns, "one answer", f"{client} got {data[:40]!r} unasked")
@@ -159,6 +167,11 @@
                 self.breach(at_ns, "streams", f"{ident} went to {server} after its body had begun to flow")
             if earlier.whole and not earlier.proof:
                 self._may_repeat(at_ns, ident, spec, story, earlier, server, group)
+        if 0 <= story.left_ns < at_ns - LEFT_SLACK_NS:
+            late_ms = (at_ns - story.left_ns) / MS
+            self.breach(
+                at_ns, "clients that left", f"{ident} went to {server} {late_ms:.0f} ms after its client"
+            )
         since = [told.get((sidecar, server)) for told in (self.told, self.out)]
         told = min((at for at in since if at is not None), default=None)
         if told is not None:
--- a/dykefold/system.py
+++ b/dykefold/system.py
@@ -37,6 +37,12 @@
         watch.register(sock, select.POLLIN)
         return watch
 
+    def watch_end(self, sock: socket.socket) -> Watch:
+        """A watch on whether bytes wait on a socket, or its other side has ended behind them (poll(2))."""
+        watch = select.poll()
+        watch.register(sock, select.POLLIN | select.POLLRDHUP)
+        return watch
+
     def open_spare(self) -> int:
         """A descriptor that is kept only to be closed. Raises OSError if there is none left."""
         return os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -49,6 +49,9 @@
     )
     answers: list = field(default_factory=list)
 
+    def gone(self):
+        return False
+
     def answer(self, call, code, headers, body):
         self.answers.append((call.ident, code, body))
 
