--- a/dykefold/lab/fleet/judge.py
+++ b/dykefold/lab/fleet/judge.py
@@ -145,22 +145,32 @@
             verdict.gap_s, verdict.gap_from_s = after - before, before
 
 
-def cold_load(came_s: Sequence[float], started_s: float, full: float, share: float, warm_s: float) -> float:
+def cold_load(
+    came_s: Sequence[float],
+    started_s: float,
+    full: float,
+    share: float,
+    warm_s: float,
+    multiple: float = 1.0,
+    span_s: float = COLD_S,
+) -> float:
     """How near a server that started anew came to being pushed over; 1 is over.
 
-    It falls by N + 3 sqrt(N) + 3 requests of mean work within `COLD_S`, N being what it can do then.
+    It falls by N + 2 sqrt(N) + 2 requests of mean work within a span, N being what it is allowed then.
 
     Args:
         came_s: of the attempts that reached it, in order.
         started_s: when it started; long ago for one that was warm all the time.
         full: requests a second that it can do when warm.
         share: of that, what it can do at its start; all of it `warm_s` later.
+        multiple: of what it can do then, that it is allowed.
+        span_s: over which that counts.
     """
     worst, first = 0.0, 0
     cold = [at_s for at_s in came_s if started_s <= at_s < started_s + warm_s]
     for last, at_s in enumerate(cold):
-        while cold[first] <= at_s - COLD_S:
+        while cold[first] <= at_s - span_s:
             first += 1
-        able = full * COLD_S * (share + (1.0 - share) * (at_s - started_s) / warm_s)
-        worst = max(worst, (last - first + 1) / (able + 3.0 * math.sqrt(able) + 3.0))
+        able = multiple * full * span_s * (share + (1.0 - share) * (at_s - started_s) / warm_s)
+        worst = max(worst, (last - first + 1) / (able + 2.0 * math.sqrt(able) + 2.0))
     return worst
--- a/dykefold/lab/fleet/member.py
+++ b/dykefold/lab/fleet/member.py
@@ -18,6 +18,9 @@
 CROSSING = 0.05  # price of a request that goes to another zone, against the worth of one in time
 SAMPLE_S = 0.005  # between two looks at what processes hold
 
+FALL_MULTIPLE = 3.0  # times what a cold server can do, sent for ...
+FALL_S = 2.0  # ... so long, push it over
+
 
 def settings(
     classes: Mapping[str, ClassTable],
@@ -68,6 +71,8 @@
         "rules": {
             "must-ask-in-ns": 10_000 * MS,
             "drain-grace-ns": 500 * MS,
+            "overload-factor": FALL_MULTIPLE,
+            "overload-for-ns": int(FALL_S * 1000 * MS),
             "start-capacity": cold[0],
             "warm-within-ns": int(cold[1] * 1000 * MS),
         },
--- a/dykefold/lab/fleet/run.py
+++ b/dykefold/lab/fleet/run.py
@@ -17,8 +17,8 @@
 from ..emulator.server import Connection, Server, Truth
 from ..scenario import LoadTable, Scenario, ServerTable
 from .desk import Asked, Desk, End, all_asked
-from .judge import Excuse, Verdict, cold_load, judge
-from .member import Member, entry, settings
+from .judge import COLD_S, Excuse, Verdict, cold_load, judge
+from .member import FALL_MULTIPLE, FALL_S, Member, entry, settings
 from .network import PORT, Datagrams, Link, free_block
 from .process import Process, StartError
 from .registry import Caller, Registry
@@ -51,7 +51,8 @@
             latest change, move, or return of the list service.
         crossed: by second of the load, the part of the attempts that went to another zone than the desk's.
         moves: times that a member said it works in another zone now.
-        cold_load: of the worst cold server, in its worst moment, against what pushes it over.
+        cold_load: of the worst cold server, in its worst moment, against what it can do then.
+        cold_fall: ... against what the rules allow it then, which pushes it over.
         served: requests by the second of the load in which they were asked, and of these served in time.
         datagrams: that members sent; `datagram_bytes` what was delivered.
         looks: at the members' views, if they keep any.
@@ -78,6 +79,7 @@
     crossed: list[float] = field(default_factory=list)
     moves: int = 0
     cold_load: float = 0.0
+    cold_fall: float = 0.0
     start_lag_s: float = 0.0
 
     @property
@@ -116,6 +118,7 @@
             "crossed_by_second": [round(part, 2) for part in self.crossed],
             "moves": self.moves,
             "cold_load": round(self.cold_load, 3),
+            "cold_fall": round(self.cold_fall, 3),
             "datagrams": self.datagrams,
             "datagram_bytes": self.datagram_bytes,
             "view_settled_s": None if self.settled_s is None else round(self.settled_s, 2),
@@ -539,6 +542,7 @@
             crossed=self._crossed(asked, began_s, seconds),
             moves=sum(line.count("works in zone") for line in self._lines()),
             cold_load=max(self._cold_loads(), default=0.0),
+            cold_fall=max(self._cold_loads(FALL_MULTIPLE, FALL_S), default=0.0),
             start_lag_s=self.start_lag_s,
         )
 
@@ -560,14 +564,15 @@
                     away[second] += zones.get(one.ident, zone) != zone
         return [away[second] / max(all_of[second], 1) for second in range(seconds)]
 
-    def _cold_loads(self) -> Iterator[float]:
+    def _cold_loads(self, multiple: float = 1.0, span_s: float = COLD_S) -> Iterator[float]:
         """Of each server that was cold, its load against what pushes it over."""
         fleet = self.scenario.fleet
         for zone in self.servers:
             for server in zone:
                 came = [one.came_s for one in self.truth.arrivals.get(server.name, ())]
                 full = fleet.cores / QUICK.mean_ms * 1000
-                yield cold_load(came, server.started_s, full, fleet.cold_share, fleet.warm_s)
+                share, warm_s = fleet.cold_share, fleet.warm_s
+                yield cold_load(came, server.started_s, full, share, warm_s, multiple, span_s)
 
     async def close(self) -> None:
         """End all that the rig has begun."""
