Tests: crossings forced without windows that a busy machine can miss

Cause, by reading: conditions that hold for some milliseconds only (a request between its refusal and its repeat, a list that must come before the second repeat, a count that goes on) were looked for every 5 ms. Change: the bad order is made within the callback that leads to it; counts are 'at least'.

--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -9,6 +9,7 @@
 import json
 import os
 import socket
+import time
 
 import pytest
 from net_helpers import (
@@ -117,7 +118,7 @@
     run(play())
 
 
-def test_a_client_that_leaves_while_the_loop_stands_still_gets_no_repeat(tmp_path):
+def test_a_client_that_leaves_while_the_loop_stands_still_gets_no_repeat(tmp_path, monkeypatch):
     """The repeat's timer fires before the client's end is read."""
 
     async def play():
@@ -127,11 +128,19 @@
         fake = await Fake(turn_away).start()
         async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
             pool = sidecar.engine.pool
+            end_attempt, ends = pool.end_attempt, []
+
+            def end_and_stand_still(*ended):
+                end_attempt(*ended)  # in the midst of reading the server's answer
+                if not ends:
+                    sock.close()
+                    time.sleep(STILL)  # past the pause before the repeat
+                ends.append(ended)
+
+            monkeypatch.setattr(pool, "end_attempt", end_and_stand_still)
             sock = socket.create_connection((HOST, sidecar.port))
             sock.sendall(message("lookup", "ab"))
-            await until(lambda: pool.held and not pool.attempts and fake.got)
-            stand_still(asyncio.get_running_loop(), STILL, sock.close)  # past the pause before the repeat
-            await until(lambda: left(sidecar))
+            await until(lambda: ends and left(sidecar))
             assert len(fake.got) == 1
 
     run(play())
@@ -193,8 +202,9 @@
     return found
 
 
-def test_bytes_that_cross_the_close_behind_an_answer_do_not_destroy_it(tmp_path):
+def test_bytes_that_cross_the_close_behind_an_answer_do_not_destroy_it(tmp_path, monkeypatch):
     """A close over unread bytes is a reset, and what is on its way goes with it (RFC 9112, 9.6)."""
+    monkeypatch.setattr(front_module, "LINGER_ANSWERED", 2.0, raising=False)  # on a busy machine too
 
     async def play():
         body = b"x" * 60_000
@@ -235,11 +245,7 @@
             await until(lambda: any(front.unread for front in fronts.values()))
             sock.settimeout(WAIT)
 
-            def read_some():
-                while b"malformed request" not in sock.recv(65536):
-                    pass
-
-            await asyncio.to_thread(read_some)
+            assert b"malformed request" in await asyncio.to_thread(read_all, sock)
             await until(lambda: left(sidecar))
             sock.close()
 
@@ -318,6 +324,9 @@
 
     async def play():
         async def lose(message, reader, writer):
+            # The repeat has one server to go to, at which connections do not come up.
+            changes = entry("s1", first.address, "DRAINING"), entry("s2", late)
+            pool.on_news(read_news(news(2, *changes), pool.names))
             reset(writer)
 
         first = await Fake(lose).start()
@@ -334,7 +343,6 @@
             loop = asyncio.get_running_loop()
             await until(lambda: first.got)
             began = loop.time()
-            pool.on_news(read_news(news(2, entry("s2", late)), pool.names))
             await until(lambda: any(a.server == 2 for a in pool.attempts.values()))
             await until(lambda: loop.time() - began > 0.8)
             for filler in fill:
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -156,11 +156,11 @@
         both = watcher(fake, heard)
         await until(lambda: fake.got)
         both.ask_now()
-        await until(lambda: len(fake.got) == 2)
+        await until(lambda: len(fake.got) >= 2)
         go.set()
         await until(lambda: heard)
         assert heard[0].version == both.version == 41 and both.watching
-        await until(lambda: len(fake.got) == 3)  # it goes on from there
+        await until(lambda: len(fake.got) >= 3)  # it goes on from there
         assert "after=41&" in fake.got[2].first
         both.close()
 
@@ -183,7 +183,7 @@
         fake = await Fake(act).start()
         heard = []
         both = watcher(fake, heard)
-        await until(lambda: len(writers) == 3)
+        await until(lambda: len(writers) >= 3)
         assert both.version == 43 and "after=43&" in fake.got[2].first
         assert [told.version for told in heard if told.entries] in ([43], [42, 43])
         both.close()
