A client let in in the turn of the planned end is answered

Cause, by reading (Engine._stop_taking, Front.connection_made): a connection that was accepted and not made up yet counted as idle and was reset when it came up, with its request unread. It is now looked at when it is made up.

--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -232,6 +232,8 @@
         transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
         if self.leaving:
             transport.abort()  # type: ignore[attr-defined]
+        elif not self.engine.taking:  # it was let in just before the end: what it asked already is answered
+            self.leave()
 
     def data_received(self, data: bytes) -> None:
         if self.deaf or self.closed:
@@ -680,9 +682,7 @@
 
     def leave(self) -> None:
         """Close while nothing of this client is open, unless something of it waits to be read."""
-        if self.transport is None:
-            self.leaving = True
-        elif not self._watch_end().poll(0):
+        if self.transport is not None and not self._watch_end().poll(0):
             self._leave()
             self.engine.clients.place(self)
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -295,6 +295,30 @@
     run(play())
 
 
+def test_a_request_of_a_client_let_in_in_the_turn_of_the_planned_end_is_served(tmp_path):
+    """It was accepted, and its connection is not made up yet, when the others are closed."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            engine = sidecar.engine
+            asked, resting = (socket.create_connection((HOST, sidecar.port)) for _ in range(2))
+            asked.sendall(message("order", "ab"))
+            engine.listener.take_rest()
+            assert len(engine.clients.all) == 2
+            engine.drain()
+            engine._stop_taking()
+            got = await asyncio.to_thread(read_all, asked)
+            assert got.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in got
+            assert await asyncio.to_thread(read_all, resting) == b""
+            await until(lambda: left(sidecar))
+            asked.close()
+            resting.close()
+        assert len(fake.got) == 1
+
+    run(play())
+
+
 def test_what_comes_on_a_resting_connection_in_the_moment_of_the_planned_end_is_not_sent_on(tmp_path):
     """Read after the end of its connection it could have no answer: none is sent on and lost."""
 
