Clients that wait while the listener rests are taken before it closes

Cause, by reading (Listener.take_rest): after a lack of descriptors the listener rests for 50 ms, and a planned end that came just then closed it with clients in its backlog, which resets them. It accepts once more first.

--- a/dykefold/admission/listener.py
+++ b/dykefold/admission/listener.py
@@ -159,6 +159,7 @@
 
     def take_rest(self) -> None:
         """Accept what waits: closing the socket would reset it."""
+        self.released()  # a rest after a lack of descriptors would be its end
         for _ in range(REST_MOST):
             if self.closed or self.resume is not None or not self._ready():
                 return
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -319,6 +319,25 @@
     run(play())
 
 
+def test_clients_that_wait_while_the_listener_rests_are_served_when_it_closes(tmp_path):
+    """It rests after a lack of descriptors; closing the socket just then would reset who waits."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+            engine = sidecar.engine
+            engine.listener.pause()
+            sock = socket.create_connection((HOST, sidecar.port))
+            sock.sendall(message("order", "ab"))
+            engine.drain()
+            engine._stop_accepting()
+            assert (await asyncio.to_thread(read_all, sock)).startswith(b"HTTP/1.1 200 ")
+            sock.close()
+        assert len(fake.got) == 1
+
+    run(play())
+
+
 def test_what_comes_on_a_resting_connection_in_the_moment_of_the_planned_end_is_not_sent_on(tmp_path):
     """Read after the end of its connection it could have no answer: none is sent on and lost."""
 
