Simulation: requests of left clients and behind an ended connection are judged as told

Causes: the new rule on clients that left also judged worlds in which a client that ends its side may wait for its answer, which no server can tell from a close; and a request that crosses the end of an idle connection is read now and dropped, where it was reset unread. What is read behind the own end is not taken: the judge counts it so, and, as strict, tells of any such request that is sent on.

--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -697,7 +697,7 @@
         now = self.monotonic()
         exchange.deadlines = self.deadlines
         self.deadlines.start(exchange, timeout, now)
-        while target.idle and (connection := self._take_idle(target, now)) is not None:
+        while target.idle and (connection := self._take_idle(target)) is not None:
             if now - connection.idle_since > target.ages.limit_s:
                 connection.close()  # and so have all others of this server stood for too long
                 continue
@@ -816,9 +816,10 @@
             for connection in list(target.idle):
                 connection.close()
 
-    def _take_idle(self, target: Target, now: float) -> Connection | None:
+    def _take_idle(self, target: Target) -> Connection | None:
         """The most recently used that has rested: it is the least likely to have been closed meanwhile."""
         if self.quarantine.limit_s:
+            now = self.monotonic()
             before = now - self.quarantine.limit(now)
             rested = (one for one in reversed(target.idle) if one.idle_since <= before)
             if (found := next(rested, None)) is None:
--- a/dykefold/sim/apps.py
+++ b/dykefold/sim/apps.py
@@ -199,8 +199,10 @@
     def _leave(self, connection: AppConnection, asked: Asked) -> None:
         if asked in connection.open:
             self.run.kernel.note(f"{self.name} leaves {asked.ident}")
-            for each in connection.open:
-                self.run.rules.left(self.run.kernel.now_ns, each.ident)
+            engine = self.run.sidecars[self.number].engine
+            if engine is not None and not engine.half_close:  # else it may only have ended its side
+                for each in connection.open:
+                    self.run.rules.left(self.run.kernel.now_ns, each.ident)
             connection.left = True
             connection.transport.abort()
 
@@ -246,8 +248,10 @@
         """A connection has ended with this request open."""
         if read and self._same_life(asked):
             self.run.rules.lost(self.run.kernel.now_ns, asked.ident, "its connection ended")
-        elif not read and not asked.ident.endswith("r"):
-            self._ask(asked.arrival, asked.ident + "r", True)
+        elif not read:
+            self.run.rules.not_taken(self.run.kernel.now_ns, asked.ident)
+            if not asked.ident.endswith("r"):
+                self._ask(asked.arrival, asked.ident + "r", True)
 
     # Floods
 
--- a/dykefold/sim/net.py
+++ b/dykefold/sim/net.py
@@ -193,7 +193,8 @@
             self.received.appendleft(data[most:])
             data = data[:most]
         self.held_bytes -= len(data)
-        self.read_bytes += len(data)
+        if not self.shut:  # what is read behind the own end can't be answered, and is not taken
+            self.read_bytes += len(data)
         if self.peer is not None and self.peer.starved:
             self.network.kernel.after(self.network.latency_ns(self), self.peer.writable_again)
         return data
--- a/dykefold/sim/rules.py
+++ b/dykefold/sim/rules.py
@@ -144,6 +144,12 @@
         if story is not None:
             story.left_ns = at_ns
 
+    def not_taken(self, at_ns: int, ident: str) -> None:
+        """A connection has ended before its request was read: it must not have been sent on."""
+        story = self.stories.get(ident)
+        if story is not None and story.tries:
+            self.breach(at_ns, "one answer", f"{ident} was sent on though its connection had ended")
+
     def stray(self, at_ns: int, client: str, data: bytes) -> None:
         """A client got bytes that it had asked nothing for."""
         self.breach(at_ns, "one answer", f"{client} got {data[:40]!r} unasked")
