--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import socket
 import struct
@@ -29,6 +30,16 @@
         return runner.run(bounded())
 
 
+def on_loop(test):
+    """A test that is a coroutine, run as `run` does."""
+
+    @functools.wraps(test)
+    def played(*args, **named):
+        return run(test(*args, **named))
+
+    return played
+
+
 async def until(true, what="the condition"):
     """Wait for something that shows only in state."""
     async with asyncio.timeout(WAIT):
@@ -233,6 +244,14 @@
         self.engine.close()
 
 
+@contextlib.asynccontextmanager
+async def one_server(tmp_path, act):
+    """A sidecar in front of one server that acts so: both."""
+    fake = await Fake(act).start()
+    async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
+        yield sidecar, fake
+
+
 def message(cls, ident="9b1f03aa5c7e2d41", deadline="3000m", body=b"", *lines):
     method = "GET" if cls == "lookup" else "POST"
     head = [f"{method} /{cls}/part?x=1 HTTP/1.1", "Host: origin.svc", f"X-Request-Id: {ident}"]
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -24,10 +24,11 @@
     entry,
     message,
     news,
+    on_loop,
+    one_server,
     read_message,
     reply,
     reset,
-    run,
     stand_still,
     until,
 )
@@ -56,130 +57,115 @@
 # Clients that leave
 
 
-def test_a_client_that_left_while_it_was_not_read_is_sent_nothing_more(tmp_path):
+@on_loop
+async def test_a_client_that_left_while_it_was_not_read_is_sent_nothing_more(tmp_path):
     """Reading is paused behind many requests, so the end behind them stands unread."""
 
-    async def play():
-        async def act(message, reader, writer):
-            await go.wait()
-            await answer_ok(message, reader, writer)
-
-        go = asyncio.Event()
-        fake = await Fake(act).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            _, writer = await asyncio.open_connection(HOST, sidecar.port)
-            writer.write(b"".join(message("lookup", f"id{n}") for n in range(2 * WAITING_MOST)))
-            await until(lambda: fake.got)
-            front = next(iter(sidecar.engine.clients.all.values()))
-            assert front.paused
-            writer.close()
-            await writer.wait_closed()
-            go.set()
-            await until(lambda: left(sidecar))
-        assert len(fake.got) == 1
+    async def act(message, reader, writer):
+        await go.wait()
+        await answer_ok(message, reader, writer)
 
-    run(play())
+    go = asyncio.Event()
+    async with one_server(tmp_path, act) as (sidecar, fake):
+        _, writer = await asyncio.open_connection(HOST, sidecar.port)
+        writer.write(b"".join(message("lookup", f"id{n}") for n in range(2 * WAITING_MOST)))
+        await until(lambda: fake.got)
+        front = next(iter(sidecar.engine.clients.all.values()))
+        assert front.paused
+        writer.close()
+        await writer.wait_closed()
+        go.set()
+        await until(lambda: left(sidecar))
+    assert len(fake.got) == 1
 
 
 @pytest.mark.parametrize("cancel", [True, False], ids=["may-cancel", "may-not"])
-def test_an_attempt_whose_connection_comes_up_after_its_client_left_is_never_written(tmp_path, cancel):
-    async def play():
-        sock, fill = full_listener()
-        address = f"{HOST}:{sock.getsockname()[1]}"
-        data = settings(config(news(1, entry("s1", address))), cancel=cancel)
-        data["settings"]["ceilings"]["connect-timeout-ns"] = 20_000 * MS
-        async with Sidecar(tmp_path / "c", data) as sidecar:
-            pool = sidecar.engine.pool
-            _, writer = await asyncio.open_connection(HOST, sidecar.port)
-            writer.write(message("order", "ab"))
-            await until(lambda: pool.attempts)
-            writer.close()
-            await until(lambda: left(sidecar) and not pool.attempts)
-            server = pool.balancer.servers[1]
-            assert not server.strikes and not server.samples  # it has done nothing wrong
-            # Room for the connection, which its system asks for again after a second.
-            for filler in fill:
-                filler.close()
-            sock.setblocking(False)
-            loop = asyncio.get_running_loop()
-            idle = pool.upstreams.targets[1].idle
-            got = []
-            while not idle:  # kept for others
-                taken, _ = await loop.sock_accept(sock)
-                got.append(taken)
-                await asyncio.sleep(0.01)
-            for taken in got:
-                taken.setblocking(False)
-                with contextlib.suppress(BlockingIOError):
-                    assert not taken.recv(4096)
-                taken.close()
-        sock.close()
-
-    run(play())
+@on_loop
+async def test_an_attempt_whose_connection_comes_up_after_its_client_left_is_never_written(tmp_path, cancel):
+    sock, fill = full_listener()
+    address = f"{HOST}:{sock.getsockname()[1]}"
+    data = settings(config(news(1, entry("s1", address))), cancel=cancel)
+    data["settings"]["ceilings"]["connect-timeout-ns"] = 20_000 * MS
+    async with Sidecar(tmp_path / "c", data) as sidecar:
+        pool = sidecar.engine.pool
+        _, writer = await asyncio.open_connection(HOST, sidecar.port)
+        writer.write(message("order", "ab"))
+        await until(lambda: pool.attempts)
+        writer.close()
+        await until(lambda: left(sidecar) and not pool.attempts)
+        server = pool.balancer.servers[1]
+        assert not server.strikes and not server.samples  # it has done nothing wrong
+        # Room for the connection, which its system asks for again after a second.
+        for filler in fill:
+            filler.close()
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        idle = pool.upstreams.targets[1].idle
+        got = []
+        while not idle:  # kept for others
+            taken, _ = await loop.sock_accept(sock)
+            got.append(taken)
+            await asyncio.sleep(0.01)
+        for taken in got:
+            taken.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                assert not taken.recv(4096)
+            taken.close()
+    sock.close()
+
+
+@on_loop
+async def test_a_client_that_leaves_while_the_loop_stands_still_gets_no_repeat(tmp_path, monkeypatch):
+    """The repeat's timer fires before the client's end is read."""
 
+    async def turn_away(message, reader, writer):
+        writer.write(reply(503, b"", "X-Not-Run: 1"))
 
-def test_a_client_that_leaves_while_the_loop_stands_still_gets_no_repeat(tmp_path, monkeypatch):
-    """The repeat's timer fires before the client's end is read."""
+    async with one_server(tmp_path, turn_away) as (sidecar, fake):
+        pool = sidecar.engine.pool
+        end_attempt, ends = pool.end_attempt, []
 
-    async def play():
-        async def turn_away(message, reader, writer):
-            writer.write(reply(503, b"", "X-Not-Run: 1"))
-
-        fake = await Fake(turn_away).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            pool = sidecar.engine.pool
-            end_attempt, ends = pool.end_attempt, []
-
-            def end_and_stand_still(*ended):
-                end_attempt(*ended)  # in the midst of reading the server's answer
-                if not ends:
-                    sock.close()
-                    time.sleep(STILL)  # past the pause before the repeat
-                ends.append(ended)
-
-            monkeypatch.setattr(pool, "end_attempt", end_and_stand_still)
-            sock = socket.create_connection((HOST, sidecar.port))
-            sock.sendall(message("lookup", "ab"))
-            await until(lambda: ends and left(sidecar))
-            assert len(fake.got) == 1
-
-    run(play())
-
-
-def test_a_request_whose_client_left_before_it_was_read_is_not_sent(tmp_path):
-    async def play():
-        fake = await Fake(answer_ok).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            # A connection to the server stands ready: the request's bytes would go out as it is read.
-            assert (await ask(sidecar.port, message("order", "warm"))).code == 200
-            sock = socket.create_connection((HOST, sidecar.port))
-            await until(lambda: sidecar.engine.clients.all)
-
-            def ask_and_leave():
-                sock.sendall(message("order", "ab"))
+        def end_and_stand_still(*ended):
+            end_attempt(*ended)  # in the midst of reading the server's answer
+            if not ends:
                 sock.close()
+                time.sleep(STILL)  # past the pause before the repeat
+            ends.append(ended)
 
-            stand_still(asyncio.get_running_loop(), STILL, ask_and_leave)
-            await until(lambda: left(sidecar))
-            assert (await ask(sidecar.port, message("order", "cd"))).code == 200
-        assert [got.headers["x-request-id"] for got in fake.got] == ["warm", "cd"]
+        monkeypatch.setattr(pool, "end_attempt", end_and_stand_still)
+        sock = socket.create_connection((HOST, sidecar.port))
+        sock.sendall(message("lookup", "ab"))
+        await until(lambda: ends and left(sidecar))
+        assert len(fake.got) == 1
 
-    run(play())
 
+@on_loop
+async def test_a_request_whose_client_left_before_it_was_read_is_not_sent(tmp_path):
+    async with one_server(tmp_path, answer_ok) as (sidecar, fake):
+        # A connection to the server stands ready: the request's bytes would go out as it is read.
+        assert (await ask(sidecar.port, message("order", "warm"))).code == 200
+        sock = socket.create_connection((HOST, sidecar.port))
+        await until(lambda: sidecar.engine.clients.all)
 
-def test_a_client_that_only_ended_its_side_is_served_where_that_is_allowed(tmp_path):
-    """Guards usual clients of `serve`: their end behind a request is no leaving."""
+        def ask_and_leave():
+            sock.sendall(message("order", "ab"))
+            sock.close()
 
-    async def play():
-        fake = await Fake(answer_ok).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            sidecar.engine.half_close = True
-            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
-            writer.write(message("order", "ab"))
-            writer.write_eof()
-            assert (await read_message(reader)).code == 200
+        stand_still(asyncio.get_running_loop(), STILL, ask_and_leave)
+        await until(lambda: left(sidecar))
+        assert (await ask(sidecar.port, message("order", "cd"))).code == 200
+    assert [got.headers["x-request-id"] for got in fake.got] == ["warm", "cd"]
 
-    run(play())
+
+@on_loop
+async def test_a_client_that_only_ended_its_side_is_served_where_that_is_allowed(tmp_path):
+    """Guards usual clients of `serve`: their end behind a request is no leaving."""
+    async with one_server(tmp_path, answer_ok) as (sidecar, _fake):
+        sidecar.engine.half_close = True
+        reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+        writer.write(message("order", "ab"))
+        writer.write_eof()
+        assert (await read_message(reader)).code == 200
 
 
 # Closes
@@ -202,210 +188,183 @@
     return found
 
 
-def test_bytes_that_cross_the_close_behind_an_answer_do_not_destroy_it(tmp_path, monkeypatch):
+@on_loop
+async def test_bytes_that_cross_the_close_behind_an_answer_do_not_destroy_it(tmp_path, monkeypatch):
     """A close over unread bytes is a reset, and what is on its way goes with it (RFC 9112, 9.6)."""
     monkeypatch.setattr(front_module, "LINGER_ANSWERED", 2.0, raising=False)  # on a busy machine too
-
-    async def play():
-        body = b"x" * 60_000
-
-        async def act(message, reader, writer):
-            writer.write(reply(200, body))
-
-        fake = await Fake(act).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            sock = slow_socket(sidecar.port)
-            sock.sendall(message("lookup", "ab", "3000m", b"", "Connection: close"))
-            await until(lambda: fake.got)
-            fronts = sidecar.engine.clients.all
-            await until(lambda: all(front.deaf for front in list(fronts.values())))
-            sock.sendall(b"GET /lookup/more")  # in the moment of the close, or after it
-            got = await asyncio.to_thread(read_all, sock)
-            assert got.endswith(body)
-            await until(lambda: left(sidecar))  # whether or not the client closes
-            sock.close()
-
-    run(play())
+    body = b"x" * 60_000
+
+    async def act(message, reader, writer):
+        writer.write(reply(200, body))
+
+    async with one_server(tmp_path, act) as (sidecar, fake):
+        sock = slow_socket(sidecar.port)
+        sock.sendall(message("lookup", "ab", "3000m", b"", "Connection: close"))
+        await until(lambda: fake.got)
+        fronts = sidecar.engine.clients.all
+        await until(lambda: all(front.deaf for front in list(fronts.values())))
+        sock.sendall(b"GET /lookup/more")  # in the moment of the close, or after it
+        got = await asyncio.to_thread(read_all, sock)
+        assert got.endswith(body)
+        await until(lambda: left(sidecar))  # whether or not the client closes
+        sock.close()
 
 
-def test_a_rejected_client_that_reads_slowly_and_never_closes_is_closed(tmp_path, monkeypatch):
+@on_loop
+async def test_a_rejected_client_that_reads_slowly_and_never_closes_is_closed(tmp_path, monkeypatch):
     """Its time to read why ended with the last byte that went, and was never begun again."""
     monkeypatch.setattr(front_module, "LINGER", 0.1)
 
-    async def play():
-        async def act(message, reader, writer):
-            writer.write(reply(200, b"x" * 60_000))
-
-        fake = await Fake(act).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            sock = slow_socket(sidecar.port)
-            # Many answers wait unread in front of the rejection of what can't be read.
-            sock.sendall(b"".join(message("lookup", f"id{n}") for n in range(8)) + b"no request\r\n\r\n")
-            fronts = sidecar.engine.clients.all
-            await until(lambda: any(front.unread for front in fronts.values()))
-            sock.settimeout(WAIT)
-
-            assert b"malformed request" in await asyncio.to_thread(read_all, sock)
-            await until(lambda: left(sidecar))
-            sock.close()
+    async def act(message, reader, writer):
+        writer.write(reply(200, b"x" * 60_000))
 
-    run(play())
-
-
-def test_a_request_that_is_there_when_its_connection_is_to_be_closed_as_idle_is_served(tmp_path):
-    async def play():
-        fake = await Fake(answer_ok).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
-            writer.write(message("order", "ab"))
-            assert (await read_message(reader)).code == 200
-            front = next(iter(sidecar.engine.clients.all.values()))
-            data = message("order", "cd")
-            # Into the kernel now, not in a later turn.
-            assert os.write(writer.get_extra_info("socket").fileno(), data) == len(data)
-            front.leave()  # in the same turn: nothing was read yet
-            assert (await read_message(reader)).code == 200
-            front.leave()
-            assert await reader.read() == b""
-            writer.close()
-        assert len(fake.got) == 2
-
-    run(play())
-
-
-def test_half_a_request_that_is_there_at_the_planned_end_is_served(tmp_path):
-    async def play():
-        fake = await Fake(answer_ok).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            engine = sidecar.engine
-            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
-            whole = message("order", "ab", "3000m", b"body")
-            writer.write(whole[:40])
-            fronts = engine.clients.all
-            await until(lambda: any(front.owes for front in fronts.values()))
-            engine.drain()
-            engine._stop_taking()
-            writer.write(whole[40:])
-            got = await read_message(reader)
-            assert got.code == 200 and got.headers["connection"] == "close"
-            assert await reader.read() == b""
-            writer.close()
-        assert len(fake.got) == 1
+    async with one_server(tmp_path, act) as (sidecar, _fake):
+        sock = slow_socket(sidecar.port)
+        # Many answers wait unread in front of the rejection of what can't be read.
+        sock.sendall(b"".join(message("lookup", f"id{n}") for n in range(8)) + b"no request\r\n\r\n")
+        fronts = sidecar.engine.clients.all
+        await until(lambda: any(front.unread for front in fronts.values()))
+        sock.settimeout(WAIT)
 
-    run(play())
+        assert b"malformed request" in await asyncio.to_thread(read_all, sock)
+        await until(lambda: left(sidecar))
+        sock.close()
 
 
-def test_a_request_of_a_client_let_in_in_the_turn_of_the_planned_end_is_served(tmp_path):
+@on_loop
+async def test_a_request_that_is_there_when_its_connection_is_to_be_closed_as_idle_is_served(tmp_path):
+    async with one_server(tmp_path, answer_ok) as (sidecar, fake):
+        reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+        writer.write(message("order", "ab"))
+        assert (await read_message(reader)).code == 200
+        front = next(iter(sidecar.engine.clients.all.values()))
+        data = message("order", "cd")
+        # Into the kernel now, not in a later turn.
+        assert os.write(writer.get_extra_info("socket").fileno(), data) == len(data)
+        front.leave()  # in the same turn: nothing was read yet
+        assert (await read_message(reader)).code == 200
+        front.leave()
+        assert await reader.read() == b""
+        writer.close()
+    assert len(fake.got) == 2
+
+
+@on_loop
+async def test_half_a_request_that_is_there_at_the_planned_end_is_served(tmp_path):
+    async with one_server(tmp_path, answer_ok) as (sidecar, fake):
+        engine = sidecar.engine
+        reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+        whole = message("order", "ab", "3000m", b"body")
+        writer.write(whole[:40])
+        fronts = engine.clients.all
+        await until(lambda: any(front.owes for front in fronts.values()))
+        engine.drain()
+        engine._stop_taking()
+        writer.write(whole[40:])
+        got = await read_message(reader)
+        assert got.code == 200 and got.headers["connection"] == "close"
+        assert await reader.read() == b""
+        writer.close()
+    assert len(fake.got) == 1
+
+
+@on_loop
+async def test_a_request_of_a_client_let_in_in_the_turn_of_the_planned_end_is_served(tmp_path):
     """It was accepted, and its connection is not made up yet, when the others are closed."""
-
-    async def play():
-        fake = await Fake(answer_ok).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            engine = sidecar.engine
-            asked, resting = (socket.create_connection((HOST, sidecar.port)) for _ in range(2))
-            asked.sendall(message("order", "ab"))
-            engine.listener.take_rest()
-            assert len(engine.clients.all) == 2
-            engine.drain()
-            engine._stop_taking()
-            got = await asyncio.to_thread(read_all, asked)
-            assert got.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in got
-            assert await asyncio.to_thread(read_all, resting) == b""
-            await until(lambda: left(sidecar))
-            asked.close()
-            resting.close()
-        assert len(fake.got) == 1
-
-    run(play())
-
-
-def test_clients_that_wait_while_the_listener_rests_are_served_when_it_closes(tmp_path):
+    async with one_server(tmp_path, answer_ok) as (sidecar, fake):
+        engine = sidecar.engine
+        asked, resting = (socket.create_connection((HOST, sidecar.port)) for _ in range(2))
+        asked.sendall(message("order", "ab"))
+        engine.listener.take_rest()
+        assert len(engine.clients.all) == 2
+        engine.drain()
+        engine._stop_taking()
+        got = await asyncio.to_thread(read_all, asked)
+        assert got.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in got
+        assert await asyncio.to_thread(read_all, resting) == b""
+        await until(lambda: left(sidecar))
+        asked.close()
+        resting.close()
+    assert len(fake.got) == 1
+
+
+@on_loop
+async def test_clients_that_wait_while_the_listener_rests_are_served_when_it_closes(tmp_path):
     """It rests after a lack of descriptors; closing the socket just then would reset who waits."""
-
-    async def play():
-        fake = await Fake(answer_ok).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            engine = sidecar.engine
-            engine.listener.pause()
-            sock = socket.create_connection((HOST, sidecar.port))
-            sock.sendall(message("order", "ab"))
-            engine.drain()
-            engine._stop_accepting()
-            assert (await asyncio.to_thread(read_all, sock)).startswith(b"HTTP/1.1 200 ")
-            sock.close()
-        assert len(fake.got) == 1
-
-    run(play())
+    async with one_server(tmp_path, answer_ok) as (sidecar, fake):
+        engine = sidecar.engine
+        engine.listener.pause()
+        sock = socket.create_connection((HOST, sidecar.port))
+        sock.sendall(message("order", "ab"))
+        engine.drain()
+        engine._stop_accepting()
+        assert (await asyncio.to_thread(read_all, sock)).startswith(b"HTTP/1.1 200 ")
+        sock.close()
+    assert len(fake.got) == 1
 
 
-def test_what_comes_on_a_resting_connection_in_the_moment_of_the_planned_end_is_not_sent_on(tmp_path):
+@on_loop
+async def test_what_comes_on_a_resting_connection_in_the_moment_of_the_planned_end_is_not_sent_on(tmp_path):
     """Read after the end of its connection it could have no answer: none is sent on and lost."""
-
-    async def play():
-        fake = await Fake(answer_ok).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            engine = sidecar.engine
-            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
-            writer.write(message("order", "ab"))
-            assert (await read_message(reader)).code == 200
-            engine.drain()
-            engine._stop_taking()
-            writer.write(message("order", "cd"))
-            assert await reader.read() == b""
-            writer.close()
-            await until(lambda: left(sidecar))
-        assert len(fake.got) == 1
-
-    run(play())
+    async with one_server(tmp_path, answer_ok) as (sidecar, fake):
+        engine = sidecar.engine
+        reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+        writer.write(message("order", "ab"))
+        assert (await read_message(reader)).code == 200
+        engine.drain()
+        engine._stop_taking()
+        writer.write(message("order", "cd"))
+        assert await reader.read() == b""
+        writer.close()
+        await until(lambda: left(sidecar))
+    assert len(fake.got) == 1
 
 
 # Connections to servers
 
 
-def test_a_keyed_repeat_whose_connection_comes_up_after_its_window_is_not_written(tmp_path):
+@on_loop
+async def test_a_keyed_repeat_whose_connection_comes_up_after_its_window_is_not_written(tmp_path):
     """zone+brink: sent again outside its window, as connections come up late; the decision was in time."""
 
-    async def play():
-        async def lose(message, reader, writer):
-            # The repeat has one server to go to, at which connections do not come up.
-            changes = entry("s1", first.address, "DRAINING"), entry("s2", late)
-            pool.on_news(read_news(news(2, *changes), pool.names))
-            reset(writer)
-
-        first = await Fake(lose).start()
-        sock, fill = full_listener()
-        late = f"{HOST}:{sock.getsockname()[1]}"
-        data = config(news(1, entry("s1", first.address)))
-        data["settings"]["ceilings"]["connect-timeout-ns"] = 20_000 * MS
-        for spec in data["settings"]["classes"]:
-            spec["window-ns"] = 700 * MS
-        data["settings"]["ceilings"]["cancel"] = False
-        async with Sidecar(tmp_path / "c", data) as sidecar:
-            pool = sidecar.engine.pool
-            asked = asyncio.create_task(ask(sidecar.port, message("hold", "ab", "4000m")))
-            loop = asyncio.get_running_loop()
-            await until(lambda: first.got)
-            began = loop.time()
-            await until(lambda: any(a.server == 2 for a in pool.attempts.values()))
-            await until(lambda: loop.time() - began > 0.8)
-            for filler in fill:
-                filler.close()
-            sock.setblocking(False)
-            idle = pool.upstreams.targets[2].idle
-            taken = []
-            while not idle and not asked.done():
-                with contextlib.suppress(asyncio.TimeoutError):
-                    async with asyncio.timeout(0.02):
-                        taken.append((await loop.sock_accept(sock))[0])
-            assert (await asked).code == 502
-            for end in taken:
-                end.setblocking(False)
-                with contextlib.suppress(BlockingIOError):
-                    assert b"POST" not in end.recv(4096)
-                end.close()
-        sock.close()
-
-    run(play())
+    async def lose(message, reader, writer):
+        # The repeat has one server to go to, at which connections do not come up.
+        changes = entry("s1", first.address, "DRAINING"), entry("s2", late)
+        pool.on_news(read_news(news(2, *changes), pool.names))
+        reset(writer)
+
+    first = await Fake(lose).start()
+    sock, fill = full_listener()
+    late = f"{HOST}:{sock.getsockname()[1]}"
+    data = config(news(1, entry("s1", first.address)))
+    data["settings"]["ceilings"]["connect-timeout-ns"] = 20_000 * MS
+    for spec in data["settings"]["classes"]:
+        spec["window-ns"] = 700 * MS
+    data["settings"]["ceilings"]["cancel"] = False
+    async with Sidecar(tmp_path / "c", data) as sidecar:
+        pool = sidecar.engine.pool
+        asked = asyncio.create_task(ask(sidecar.port, message("hold", "ab", "4000m")))
+        loop = asyncio.get_running_loop()
+        await until(lambda: first.got)
+        began = loop.time()
+        await until(lambda: any(a.server == 2 for a in pool.attempts.values()))
+        await until(lambda: loop.time() - began > 0.8)
+        for filler in fill:
+            filler.close()
+        sock.setblocking(False)
+        idle = pool.upstreams.targets[2].idle
+        taken = []
+        while not idle and not asked.done():
+            with contextlib.suppress(asyncio.TimeoutError):
+                async with asyncio.timeout(0.02):
+                    taken.append((await loop.sock_accept(sock))[0])
+        assert (await asked).code == 502
+        for end in taken:
+            end.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                assert b"POST" not in end.recv(4096)
+            end.close()
+    sock.close()
 
 
 class Late(upstream.Connection):
@@ -417,80 +376,72 @@
         pass
 
 
-def test_an_exchange_that_counts_as_never_run_is_never_whole_at_its_server(monkeypatch):
+@on_loop
+async def test_an_exchange_that_counts_as_never_run_is_never_whole_at_its_server(monkeypatch):
     monkeypatch.setattr(upstream, "Connection", Late)
-
-    async def play():
-        sock = socket.create_server((HOST, 0))
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        pool = make(sock.getsockname())
-        payload = b"POST /order HTTP/1.1\r\nContent-Length: 8000000\r\n\r\n" + b"x" * 8_000_000
-        ends = []
-        exchange = Exchange(payload, lambda _, status, __: ends.append(status), 64 * 1024)
-        pool.start(1, exchange, WAIT)
-        sock.setblocking(False)
-        loop = asyncio.get_running_loop()
-        server, _ = await loop.sock_accept(sock)
-        await until(lambda: exchange.connection is not None)
-        got = 0
-        while got < len(payload) - 1:
-            got += len(await loop.sock_recv(server, 1 << 20))
-        exchange.give_up(Status.TIMEOUT)
-        assert ends == [Status.CONNECT_FAILED]
-        with contextlib.suppress(OSError):
-            while data := await loop.sock_recv(server, 1 << 20):
-                got += len(data)
-        assert got < len(payload)
-        server.close()
-        sock.close()
-        pool.close()
-
-    run(play())
-
-
-def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_request_s(tmp_path):
+    sock = socket.create_server((HOST, 0))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    pool = make(sock.getsockname())
+    payload = b"POST /order HTTP/1.1\r\nContent-Length: 8000000\r\n\r\n" + b"x" * 8_000_000
+    ends = []
+    exchange = Exchange(payload, lambda _, status, __: ends.append(status), 64 * 1024)
+    pool.start(1, exchange, WAIT)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    server, _ = await loop.sock_accept(sock)
+    await until(lambda: exchange.connection is not None)
+    got = 0
+    while got < len(payload) - 1:
+        got += len(await loop.sock_recv(server, 1 << 20))
+    exchange.give_up(Status.TIMEOUT)
+    assert ends == [Status.CONNECT_FAILED]
+    with contextlib.suppress(OSError):
+        while data := await loop.sock_recv(server, 1 << 20):
+            got += len(data)
+    assert got < len(payload)
+    server.close()
+    sock.close()
+    pool.close()
+
+
+@on_loop
+async def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_request_s(tmp_path):
     """Servers were seen to send one some milliseconds late: from then on connections rest behind answers."""
 
-    async def play():
-        async def act(message, reader, writer):
-            ident = message.headers["x-request-id"]
-            if ident == "three":  # the copy of the answer before comes first
-                doubled["two"].write(reply(200, b"two"))
-            writer.write(reply(200, ident.encode()))
-            if ident in ("one", "two"):
-                doubled[ident] = writer
-
-        doubled = {}
-        fake = await Fake(act).start()
-        async with Sidecar(tmp_path / "c", config(news(1, entry("s1", fake.address)))) as sidecar:
-            upstreams = sidecar.engine.pool.upstreams
-            assert (await ask(sidecar.port, message("lookup", "one"))).body == b"one"
-            doubled["one"].write(reply(200, b"one"))
-            await until(lambda: not upstreams.connections)
-            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
-            for ident in ("two", "three"):
-                # Both at once, so that the second is sent in the turn in which the first is answered.
-                writer.write(message("lookup", ident))
-            for ident in ("two", "three"):
-                assert (await read_message(reader)).body == ident.encode()
-            writer.close()
-        numbers = [got.connection for got in fake.got]
-        assert len(set(numbers)) == 3
-
-    run(play())
-
-
-def test_names_of_classes_that_a_path_has_to_escape_are_known(tmp_path):
-    async def play():
-        fake = await Fake(answer_ok).start()
-        data = json.loads(json.dumps(config(news(1, entry("s1", fake.address)))))
-        data["settings"]["classes"][0]["name"] = "größe & preis"
-        async with Sidecar(tmp_path / "c", data) as sidecar:
-            for number, name in enumerate(("gr%C3%B6%C3%9Fe%20%26%20preis", "gr%c3%b6%c3%9fe%20&%20preis")):
-                request = message("lookup", f"id{number}").replace(b"/lookup/", f"/{name}/".encode())
-                assert (await ask(sidecar.port, request)).code == 200
-            request = message("lookup", "no").replace(b"/lookup/", b"/gr%C3/")
-            assert (await ask(sidecar.port, request)).code == 404
-        assert [got.first.split()[1].split("/")[1][:7] for got in fake.got] == ["gr%C3%B", "gr%c3%b"]
-
-    run(play())
+    async def act(message, reader, writer):
+        ident = message.headers["x-request-id"]
+        if ident == "three":  # the copy of the answer before comes first
+            doubled["two"].write(reply(200, b"two"))
+        writer.write(reply(200, ident.encode()))
+        if ident in ("one", "two"):
+            doubled[ident] = writer
+
+    doubled = {}
+    async with one_server(tmp_path, act) as (sidecar, fake):
+        upstreams = sidecar.engine.pool.upstreams
+        assert (await ask(sidecar.port, message("lookup", "one"))).body == b"one"
+        doubled["one"].write(reply(200, b"one"))
+        await until(lambda: not upstreams.connections)
+        reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+        for ident in ("two", "three"):
+            # Both at once, so that the second is sent in the turn in which the first is answered.
+            writer.write(message("lookup", ident))
+        for ident in ("two", "three"):
+            assert (await read_message(reader)).body == ident.encode()
+        writer.close()
+    numbers = [got.connection for got in fake.got]
+    assert len(set(numbers)) == 3
+
+
+@on_loop
+async def test_names_of_classes_that_a_path_has_to_escape_are_known(tmp_path):
+    fake = await Fake(answer_ok).start()
+    data = json.loads(json.dumps(config(news(1, entry("s1", fake.address)))))
+    data["settings"]["classes"][0]["name"] = "größe & preis"
+    async with Sidecar(tmp_path / "c", data) as sidecar:
+        for number, name in enumerate(("gr%C3%B6%C3%9Fe%20%26%20preis", "gr%c3%b6%c3%9fe%20&%20preis")):
+            request = message("lookup", f"id{number}").replace(b"/lookup/", f"/{name}/".encode())
+            assert (await ask(sidecar.port, request)).code == 200
+        request = message("lookup", "no").replace(b"/lookup/", b"/gr%C3/")
+        assert (await ask(sidecar.port, request)).code == 404
+    assert [got.first.split()[1].split("/")[1][:7] for got in fake.got] == ["gr%C3%B", "gr%c3%b"]
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -13,7 +13,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from net_helpers import HOST, WAIT, Fake, entry, news, reply, run, stand_still, until
+from net_helpers import HOST, WAIT, Fake, entry, news, on_loop, reply, stand_still, until
 
 from dykefold.interface import (
     Effect,
@@ -62,187 +62,173 @@
 
 
 @pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
-def test_a_silent_watch_is_replaced_before_it_is_given_up(pushed, monkeypatch):
+@on_loop
+async def test_a_silent_watch_is_replaced_before_it_is_given_up(pushed, monkeypatch):
     """calm+brink: all open watches fall silent, servers begin to drain; it was heard of after 24 s."""
     monkeypatch.setattr(discovery, "WATCH_ASKED_MS", 200)
     monkeypatch.setattr(discovery, "WATCH_PUSHED_MS", 200)
 
-    async def play():
-        async def act(message, reader, writer):
-            if len(fake.got) > 1:
-                open_then.append(fake.ended)
-                writer.write(listing(41, DRAINED))
-            await reader.read()
-
-        open_then = []
-        fake = await Fake(act).start()
-        heard = []
-        both = watcher(fake, heard, pushed)
-        began = time.monotonic()
-        await until(lambda: heard)
-        assert time.monotonic() - began < 0.2 + TOLD_AFTER_WAIT
-        assert heard[0].version == 41 and heard[0].entries[0].endpoint.state is State.DRAINING
-        assert open_then[0] == 0  # the silent one stood while it was asked beside
-        await until(lambda: fake.ended)  # ... and goes when there is an answer
-        assert heard == [heard[0]] and both.watching
-        both.close()
-
-    run(play())
-
-
-def test_a_pushed_watch_that_falls_silent_misses_nothing_for_long():
+    async def act(message, reader, writer):
+        if len(fake.got) > 1:
+            open_then.append(fake.ended)
+            writer.write(listing(41, DRAINED))
+        await reader.read()
+
+    open_then = []
+    fake = await Fake(act).start()
+    heard = []
+    both = watcher(fake, heard, pushed)
+    began = time.monotonic()
+    await until(lambda: heard)
+    assert time.monotonic() - began < 0.2 + TOLD_AFTER_WAIT
+    assert heard[0].version == 41 and heard[0].entries[0].endpoint.state is State.DRAINING
+    assert open_then[0] == 0  # the silent one stood while it was asked beside
+    await until(lambda: fake.ended)  # ... and goes when there is an answer
+    assert heard == [heard[0]] and both.watching
+    both.close()
+
+
+@on_loop
+async def test_a_pushed_watch_that_falls_silent_misses_nothing_for_long():
     """By the real figures."""
 
-    async def play():
-        async def act(message, reader, writer):
-            if len(fake.got) > 1:
-                writer.write(listing(41, DRAINED, indent=2))
-            await reader.read()
-
-        fake = await Fake(act).start()
-        heard = []
-        agent = watcher(fake, heard, pushed=True)
-        began = time.monotonic()
-        await until(lambda: heard)
-        assert time.monotonic() - began < TOLD_WITHIN - 1.0
-        agent.close()
+    async def act(message, reader, writer):
+        if len(fake.got) > 1:
+            writer.write(listing(41, DRAINED, indent=2))
+        await reader.read()
 
-    run(play())
+    fake = await Fake(act).start()
+    heard = []
+    agent = watcher(fake, heard, pushed=True)
+    began = time.monotonic()
+    await until(lambda: heard)
+    assert time.monotonic() - began < TOLD_WITHIN - 1.0
+    agent.close()
 
 
-def test_a_silent_agent_is_asked_again_and_again_with_a_bound(monkeypatch):
+@on_loop
+async def test_a_silent_agent_is_asked_again_and_again_with_a_bound(monkeypatch):
     """An agent cut off from discovery holds its answers; what it gets at the return counts at once."""
     monkeypatch.setattr(discovery, "WATCH_PUSHED_MS", 100)
     monkeypatch.setattr(discovery, "OVERDUE_PUSHED", 0.05)
     monkeypatch.setattr(discovery, "AGAIN_PUSHED", 0.05)
 
-    async def play():
-        async def act(message, reader, writer):
-            standing.append(fake.connections - fake.ended)
-            if back.is_set():
-                writer.write(listing(41, DRAINED))
-            await reader.read()
-
-        standing = []
-        back = asyncio.Event()
-        fake = await Fake(act).start()
-        heard = []
-        agent = watcher(fake, heard, pushed=True)
-        await until(lambda: len(fake.got) > 8)
-        assert not heard and max(standing) <= discovery.OPEN_MOST + 1  # one of these is on its way out
-        back.set()
-        returned = time.monotonic()
-        await until(lambda: heard)
-        assert time.monotonic() - returned < 0.5  # the grace of a drain
-        agent.close()
-
-    run(play())
-
-
-def test_an_answer_to_the_earlier_of_two_calls_counts():
+    async def act(message, reader, writer):
+        standing.append(fake.connections - fake.ended)
+        if back.is_set():
+            writer.write(listing(41, DRAINED))
+        await reader.read()
+
+    standing = []
+    back = asyncio.Event()
+    fake = await Fake(act).start()
+    heard = []
+    agent = watcher(fake, heard, pushed=True)
+    await until(lambda: len(fake.got) > 8)
+    assert not heard and max(standing) <= discovery.OPEN_MOST + 1  # one of these is on its way out
+    back.set()
+    returned = time.monotonic()
+    await until(lambda: heard)
+    assert time.monotonic() - returned < 0.5  # the grace of a drain
+    agent.close()
+
+
+@on_loop
+async def test_an_answer_to_the_earlier_of_two_calls_counts():
     """It was written to this process, and so told."""
 
-    async def play():
-        async def act(message, reader, writer):
-            if len(fake.got) == 1:
-                await go.wait()
-                writer.write(listing(41, DRAINED))
-            else:
-                await reader.read()
-
-        go = asyncio.Event()
-        fake = await Fake(act).start()
-        heard = []
-        both = watcher(fake, heard)
-        await until(lambda: fake.got)
-        both.ask_now()
-        await until(lambda: len(fake.got) >= 2)
-        go.set()
-        await until(lambda: heard)
-        assert heard[0].version == both.version == 41 and both.watching
-        await until(lambda: len(fake.got) >= 3)  # it goes on from there
-        assert "after=41&" in fake.got[2].first
-        both.close()
-
-    run(play())
-
-
-def test_an_older_answer_to_the_earlier_of_two_calls_sets_nothing_back(monkeypatch):
-    monkeypatch.setattr(discovery, "WATCH_ASKED_MS", 100)
-    monkeypatch.setattr(discovery, "OVERDUE_ASKED", 0.05)
-
-    async def play():
-        async def act(message, reader, writer):
-            writers.append(writer)
-            if len(writers) == 2:  # both in the order that must not count
-                writer.write(listing(43, entry("s2", f"{HOST}:8")))
-                writers[0].write(listing(42, entry("s1", f"{HOST}:7")))
+    async def act(message, reader, writer):
+        if len(fake.got) == 1:
+            await go.wait()
+            writer.write(listing(41, DRAINED))
+        else:
             await reader.read()
 
-        writers = []
-        fake = await Fake(act).start()
-        heard = []
-        both = watcher(fake, heard)
-        await until(lambda: len(writers) >= 3)
-        assert both.version == 43 and "after=43&" in fake.got[2].first
-        assert [told.version for told in heard if told.entries] in ([43], [42, 43])
-        both.close()
-
-    run(play())
-
+    go = asyncio.Event()
+    fake = await Fake(act).start()
+    heard = []
+    both = watcher(fake, heard)
+    await until(lambda: fake.got)
+    both.ask_now()
+    await until(lambda: len(fake.got) >= 2)
+    go.set()
+    await until(lambda: heard)
+    assert heard[0].version == both.version == 41 and both.watching
+    await until(lambda: len(fake.got) >= 3)  # it goes on from there
+    assert "after=41&" in fake.got[2].first
+    both.close()
+
+
+@on_loop
+async def test_an_older_answer_to_the_earlier_of_two_calls_sets_nothing_back(monkeypatch):
+    monkeypatch.setattr(discovery, "WATCH_ASKED_MS", 100)
+    monkeypatch.setattr(discovery, "OVERDUE_ASKED", 0.05)
 
-def test_what_the_old_discovery_tells_after_a_move_counts_until_the_new_one_has_told_its_list():
+    async def act(message, reader, writer):
+        writers.append(writer)
+        if len(writers) == 2:  # both in the order that must not count
+            writer.write(listing(43, entry("s2", f"{HOST}:8")))
+            writers[0].write(listing(42, entry("s1", f"{HOST}:7")))
+        await reader.read()
+
+    writers = []
+    fake = await Fake(act).start()
+    heard = []
+    both = watcher(fake, heard)
+    await until(lambda: len(writers) >= 3)
+    assert both.version == 43 and "after=43&" in fake.got[2].first
+    assert [told.version for told in heard if told.entries] in ([43], [42, 43])
+    both.close()
+
+
+@on_loop
+async def test_what_the_old_discovery_tells_after_a_move_counts_until_the_new_one_has_told_its_list():
     """SIGHUP crosses a change: the old one has written it, the new one is slow."""
 
-    async def play():
-        async def old_act(message, reader, writer):
-            writers.append(writer)
-            await reader.read()
-
-        async def new_act(message, reader, writer):
-            if len(new.got) == 1:
-                await go.wait()
-            writer.write(listing(7, entry("s2", f"{HOST}:8"), snapshot=True))
-            await reader.read()
-
-        writers, go = [], asyncio.Event()
-        old, new = await Fake(old_act).start(), await Fake(new_act).start()
-        heard = []
-        moved = watcher(old, heard)
-        await until(lambda: writers)
-        moved.turn((HOST, new.port))
-        await until(lambda: new.got)
-        writers[0].write(listing(41, DRAINED))
-        await until(lambda: heard)
-        assert heard[0].version == 41 and moved.version is None and moved.listed_by == old.address
-        assert len(old.got) == 1  # it is asked no more
-        go.set()
-        await until(lambda: len(heard) > 1)
-        assert heard[1].complete and moved.version == 7 and moved.listed_by == new.address
-        await until(lambda: old.ended)
-        moved.close()
-
-    run(play())
-
-
-def test_a_move_back_and_forth_leaves_one_discovery_and_one_to_leave():
-    async def play():
-        async def act(message, reader, writer):
-            await reader.read()
-
-        fakes = [await Fake(act).start() for _ in range(3)]
-        heard = []
-        moved = watcher(fakes[0], heard)
-        await until(lambda: fakes[0].got)
-        for fake in (*fakes[1:], *fakes):
-            moved.turn((HOST, fake.port))
-        await until(lambda: fakes[2].connections - fakes[2].ended == 1)
-        await until(lambda: fakes[0].connections == fakes[0].ended)
-        assert moved.left is not None and moved.address == (HOST, fakes[2].port)
-        moved.close()
-        await until(lambda: all(fake.connections == fake.ended for fake in fakes))
-
-    run(play())
+    async def old_act(message, reader, writer):
+        writers.append(writer)
+        await reader.read()
+
+    async def new_act(message, reader, writer):
+        if len(new.got) == 1:
+            await go.wait()
+        writer.write(listing(7, entry("s2", f"{HOST}:8"), snapshot=True))
+        await reader.read()
+
+    writers, go = [], asyncio.Event()
+    old, new = await Fake(old_act).start(), await Fake(new_act).start()
+    heard = []
+    moved = watcher(old, heard)
+    await until(lambda: writers)
+    moved.turn((HOST, new.port))
+    await until(lambda: new.got)
+    writers[0].write(listing(41, DRAINED))
+    await until(lambda: heard)
+    assert heard[0].version == 41 and moved.version is None and moved.listed_by == old.address
+    assert len(old.got) == 1  # it is asked no more
+    go.set()
+    await until(lambda: len(heard) > 1)
+    assert heard[1].complete and moved.version == 7 and moved.listed_by == new.address
+    await until(lambda: old.ended)
+    moved.close()
+
+
+@on_loop
+async def test_a_move_back_and_forth_leaves_one_discovery_and_one_to_leave():
+    async def act(message, reader, writer):
+        await reader.read()
+
+    fakes = [await Fake(act).start() for _ in range(3)]
+    heard = []
+    moved = watcher(fakes[0], heard)
+    await until(lambda: fakes[0].got)
+    for fake in (*fakes[1:], *fakes):
+        moved.turn((HOST, fake.port))
+    await until(lambda: fakes[2].connections - fakes[2].ended == 1)
+    await until(lambda: fakes[0].connections == fakes[0].ended)
+    assert moved.left is not None and moved.address == (HOST, fakes[2].port)
+    moved.close()
+    await until(lambda: all(fake.connections == fake.ended for fake in fakes))
 
 
 class Teller(threading.Thread):
@@ -265,31 +251,28 @@
             sock.recv(4096)
 
 
-def test_a_list_that_waits_unread_when_its_call_s_time_is_up_is_read(monkeypatch):
+@on_loop
+async def test_a_list_that_waits_unread_when_its_call_s_time_is_up_is_read(monkeypatch):
     """Timers fire before sockets are read: a loop that was late gave up what had been told."""
     monkeypatch.setattr(discovery, "ANSWER_WITHIN", 0.3)
-
-    async def play():
-        teller = Teller()
-        teller.start()
-        heard = []
-        names = Names(["a", "b"], ["std"])
-        asker = Discovery(asyncio.get_running_loop(), (HOST, teller.port), names, 40, heard.append, False)
-        asker.fetch()
-        await until(teller.asked.is_set)
-
-        def tell():
-            teller.go.set()
-            assert teller.told.wait(WAIT)
-
-        # The call's time is up before its answer is read, which is there.
-        stand_still(asyncio.get_running_loop(), 0.5, tell)
-        await until(lambda: heard)
-        assert heard[0] is not None and heard[0].version == 41
-        asker.close()
-        teller.join(WAIT)
-
-    run(play())
+    teller = Teller()
+    teller.start()
+    heard = []
+    names = Names(["a", "b"], ["std"])
+    asker = Discovery(asyncio.get_running_loop(), (HOST, teller.port), names, 40, heard.append, False)
+    asker.fetch()
+    await until(teller.asked.is_set)
+
+    def tell():
+        teller.go.set()
+        assert teller.told.wait(WAIT)
+
+    # The call's time is up before its answer is read, which is there.
+    stand_still(asyncio.get_running_loop(), 0.5, tell)
+    await until(lambda: heard)
+    assert heard[0] is not None and heard[0].version == 41
+    asker.close()
+    teller.join(WAIT)
 
 
 @given(must_ask_s=st.floats(0.5, 3600.0), fails=st.integers(1, 12), seed=st.integers(0, 99))
--- a/tests/test_crossings_processes.py
+++ b/tests/test_crossings_processes.py
@@ -19,6 +19,7 @@
     entry,
     message,
     news,
+    on_loop,
     read_message,
     reply,
     run,
@@ -52,162 +53,153 @@
 
 
 @pytest.mark.parametrize("down", ["refused", "silent", "overloaded"])
-def test_thirty_processes_started_together_are_ready_whatever_discovery_does(tmp_path, down):
-    async def play_it():
-        async def act(message, reader, writer):
-            if down == "overloaded":
-                writer.write(reply(503, b""))
-            else:
-                await reader.read()
-
-        fake = await Fake(answer_ok).start()
-        lists = await Fake(act).start()
-        address = lists.address
-        if down == "refused":
-            lists.server.close()
-        data = config(news(1, entry("s1", fake.address)), address)
-        async with contextlib.AsyncExitStack() as stack:
-            began = time.monotonic()
-
-            async def one(number):
-                process = Process(tmp_path / f"c{number}", data)
-                await stack.enter_async_context(process)
-                after_s = await ready_after(process.port, began)
-                assert (await ask(process.port, message("order", f"id{number}"))).code == 200
-                return after_s
-
-            after_s = sorted(await asyncio.gather(*(one(number) for number in range(PROCESSES))))
-        assert after_s[PROCESSES * 9 // 10] < READY_MOST_S
-        assert after_s[-1] < READY_ALL_S
-
-    run(play_it())
-
-
-def test_no_process_asks_a_drained_server_when_all_watches_have_fallen_silent(tmp_path):
+@on_loop
+async def test_thirty_processes_started_together_are_ready_whatever_discovery_does(tmp_path, down):
+    async def act(message, reader, writer):
+        if down == "overloaded":
+            writer.write(reply(503, b""))
+        else:
+            await reader.read()
+
+    fake = await Fake(answer_ok).start()
+    lists = await Fake(act).start()
+    address = lists.address
+    if down == "refused":
+        lists.server.close()
+    data = config(news(1, entry("s1", fake.address)), address)
+    async with contextlib.AsyncExitStack() as stack:
+        began = time.monotonic()
+
+        async def one(number):
+            process = Process(tmp_path / f"c{number}", data)
+            await stack.enter_async_context(process)
+            after_s = await ready_after(process.port, began)
+            assert (await ask(process.port, message("order", f"id{number}"))).code == 200
+            return after_s
+
+        after_s = sorted(await asyncio.gather(*(one(number) for number in range(PROCESSES))))
+    assert after_s[PROCESSES * 9 // 10] < READY_MOST_S
+    assert after_s[-1] < READY_ALL_S
+
+
+@on_loop
+async def test_no_process_asks_a_drained_server_when_all_watches_have_fallen_silent(tmp_path):
     """calm+brink, which no operator's bench has to play: by six processes and their agents."""
-
-    async def play_it():
-        came = []
-
-        async def serve_old(message, reader, writer):
-            came.append(time.monotonic())
-            await answer_ok(message, reader, writer)
-
-        old, new = await Fake(serve_old).start(), await Fake(answer_ok).start()
-
-        async def tell(message, reader, writer):
-            # The first watch of each process falls silent; what comes after it is told.
-            if message.connection in silent or not drained:
-                silent.add(message.connection)
-                await reader.read()
-            change = entry("s1", old.address, "DRAINING")
-            if "after=1&" in message.first:
-                writer.write(listing(2, change, snapshot=False))
-            else:
-                await asyncio.sleep(1.0)
-                writer.write(listing(2, snapshot=False))
-
-        drained, silent = [], set()
-        agents = await Fake(tell).start()
-        servers = entry("s1", old.address), entry("s2", new.address)
-        data = push(config(news(1, *servers), agents.address))
-        async with contextlib.AsyncExitStack() as stack:
-            processes = [Process(tmp_path / f"c{number}", data) for number in range(6)]
-            for process in processes:
-                await stack.enter_async_context(process)
-            await until(lambda: len(silent) == 6)
-            drained.append(time.monotonic())
-            bound = drained[0] + TOLD_WITHIN + GRACE
-
-            async def desk(process, name):
-                reader, writer = await asyncio.open_connection(HOST, process.port)
-                count = 0
-                while time.monotonic() < bound + 0.5:
-                    writer.write(message("lookup", f"{name}-{count}"))
-                    assert (await read_message(reader)).code == 200
-                    count += 1
-                    await asyncio.sleep(0.02)
-                writer.close()
-
-            await asyncio.gather(*(desk(process, n) for n, process in enumerate(processes)))
-        assert came and max(came) < bound
-        assert len(new.got) > 6 * 20
-
-    run(play_it())
-
-
-def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_nobody_from_its_return(tmp_path):
-    async def play_it():
-        dead = socket.socket()
-        dead.bind((HOST, 0))  # and nobody listens there
-        gone = f"{HOST}:{dead.getsockname()[1]}"
-        new = await Fake(answer_ok).start()
-        lists = socket.socket()
-        lists.bind((HOST, 0))
-        address = f"{HOST}:{lists.getsockname()[1]}"
-        data = push(config(news(1, entry("s1", gone)), address))
-        data["limits"]["sockets"] = 96
-        async with Process(tmp_path / "c", data, descriptors=96) as sidecar:
-            idle = []
-            for number in range(200):
-                with contextlib.suppress(OSError):
-                    sock = socket.create_connection((HOST, sidecar.port), 1.0)
-                    idle.append(sock)
-                    if number % 2:  # these have asked once, and keep their connection
-                        sock.sendall(READY)
-            known = socket.create_connection((HOST, sidecar.port))
-            known.sendall(message("lookup", "down", "300m"))
-            known.settimeout(20.0)
-            assert b"HTTP/1.1 5" in known.recv(4096)
-
-            async def tell(message, reader, writer):
-                if "after=1&" in message.first:
-                    changes = entry("s1", gone, "DELETED"), entry("s2", new.address)
-                    writer.write(listing(2, *changes, snapshot=False))
-                await reader.read()
-
-            agent = Fake(tell)
-            agent.server = await asyncio.start_server(agent._serve, sock=lists)
-            back = time.monotonic()
-            await until(lambda: agent.got)
+    came = []
+
+    async def serve_old(message, reader, writer):
+        came.append(time.monotonic())
+        await answer_ok(message, reader, writer)
+
+    old, new = await Fake(serve_old).start(), await Fake(answer_ok).start()
+
+    async def tell(message, reader, writer):
+        # The first watch of each process falls silent; what comes after it is told.
+        if message.connection in silent or not drained:
+            silent.add(message.connection)
+            await reader.read()
+        change = entry("s1", old.address, "DRAINING")
+        if "after=1&" in message.first:
+            writer.write(listing(2, change, snapshot=False))
+        else:
+            await asyncio.sleep(1.0)
+            writer.write(listing(2, snapshot=False))
+
+    drained, silent = [], set()
+    agents = await Fake(tell).start()
+    servers = entry("s1", old.address), entry("s2", new.address)
+    data = push(config(news(1, *servers), agents.address))
+    async with contextlib.AsyncExitStack() as stack:
+        processes = [Process(tmp_path / f"c{number}", data) for number in range(6)]
+        for process in processes:
+            await stack.enter_async_context(process)
+        await until(lambda: len(silent) == 6)
+        drained.append(time.monotonic())
+        bound = drained[0] + TOLD_WITHIN + GRACE
+
+        async def desk(process, name):
+            reader, writer = await asyncio.open_connection(HOST, process.port)
             count = 0
-            while not new.got:
-                assert time.monotonic() - back < TOLD_WITHIN
-                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                    await ask(sidecar.port, message("lookup", f"new{count}", "300m"))
+            while time.monotonic() < bound + 0.5:
+                writer.write(message("lookup", f"{name}-{count}"))
+                assert (await read_message(reader)).code == 200
                 count += 1
-            for sock in idle:
-                sock.close()
-            known.close()
-            assert sidecar.process.returncode is None
-
-    run(play_it())
-
+                await asyncio.sleep(0.02)
+            writer.close()
+
+        await asyncio.gather(*(desk(process, n) for n, process in enumerate(processes)))
+    assert came and max(came) < bound
+    assert len(new.got) > 6 * 20
+
+
+@on_loop
+async def test_idle_clients_that_fill_the_descriptors_keep_nobody_from_discovery_s_return(tmp_path):
+    dead = socket.socket()
+    dead.bind((HOST, 0))  # and nobody listens there
+    gone = f"{HOST}:{dead.getsockname()[1]}"
+    new = await Fake(answer_ok).start()
+    lists = socket.socket()
+    lists.bind((HOST, 0))
+    address = f"{HOST}:{lists.getsockname()[1]}"
+    data = push(config(news(1, entry("s1", gone)), address))
+    data["limits"]["sockets"] = 96
+    async with Process(tmp_path / "c", data, descriptors=96) as sidecar:
+        idle = []
+        for number in range(200):
+            with contextlib.suppress(OSError):
+                sock = socket.create_connection((HOST, sidecar.port), 1.0)
+                idle.append(sock)
+                if number % 2:  # these have asked once, and keep their connection
+                    sock.sendall(READY)
+        known = socket.create_connection((HOST, sidecar.port))
+        known.sendall(message("lookup", "down", "300m"))
+        known.settimeout(20.0)
+        assert b"HTTP/1.1 5" in known.recv(4096)
 
-def test_signals_that_cross_end_one_process_once_with_every_answer_given(tmp_path):
+        async def tell(message, reader, writer):
+            if "after=1&" in message.first:
+                changes = entry("s1", gone, "DELETED"), entry("s2", new.address)
+                writer.write(listing(2, *changes, snapshot=False))
+            await reader.read()
+
+        agent = Fake(tell)
+        agent.server = await asyncio.start_server(agent._serve, sock=lists)
+        back = time.monotonic()
+        await until(lambda: agent.got)
+        count = 0
+        while not new.got:
+            assert time.monotonic() - back < TOLD_WITHIN
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await ask(sidecar.port, message("lookup", f"new{count}", "300m"))
+            count += 1
+        for sock in idle:
+            sock.close()
+        known.close()
+        assert sidecar.process.returncode is None
+
+
+@on_loop
+async def test_signals_that_cross_end_one_process_once_with_every_answer_given(tmp_path):
     """SIGTERM twice, and SIGHUP between and behind: the end goes on as it began."""
 
-    async def play_it():
-        async def act(message, reader, writer):
-            await go.wait()
-            writer.write(reply(200, b"served"))
-
-        go = asyncio.Event()
-        fake = await Fake(act).start()
-        data = config(news(1, entry("s1", fake.address)))
-        async with Process(tmp_path / "c", data) as sidecar:
-            held = [asyncio.create_task(ask(sidecar.port, message("order", f"id{n}"))) for n in range(8)]
-            await until(lambda: len(fake.got) == 8)
-            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
-                sidecar.process.send_signal(number)
-            assert (await ask(sidecar.port, READY)).code == 503
-            go.set()
-            assert [(await one).code for one in held] == [200] * 8
-            assert await sidecar.process.wait() == 0
-            log = await sidecar.log
-            assert b"Traceback" not in log and log.count(b"draining") == 1
-
-    run(play_it())
+    async def act(message, reader, writer):
+        await go.wait()
+        writer.write(reply(200, b"served"))
+
+    go = asyncio.Event()
+    fake = await Fake(act).start()
+    data = config(news(1, entry("s1", fake.address)))
+    async with Process(tmp_path / "c", data) as sidecar:
+        held = [asyncio.create_task(ask(sidecar.port, message("order", f"id{n}"))) for n in range(8)]
+        await until(lambda: len(fake.got) == 8)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+            sidecar.process.send_signal(number)
+        assert (await ask(sidecar.port, READY)).code == 503
+        go.set()
+        assert [(await one).code for one in held] == [200] * 8
+        assert await sidecar.process.wait() == 0
+        log = await sidecar.log
+        assert b"Traceback" not in log and log.count(b"draining") == 1
 
 
 @pytest.mark.parametrize("members", [20, 30])
