View: two newcomers that are equal do not count as having met the fleet

Cause: `View._on_sums` took the first equal comparison for the end of joining. Two that have both just begun hold the same two words, are equal, and from then on count nobody they have not met; under half of the datagrams lost or spoilt that lasted seconds.

Test: seven members on the virtual clock, two cut off from the others from the start; red before (each left out members it had not met).

--- a/dykefold/fleet/view.py
+++ b/dykefold/fleet/view.py
@@ -366,7 +366,8 @@
             if self.table.sum(at, min(at + width, high)) & 0xFFFFFFFF != told
         ]
         if not differ:
-            if (low, high) == (0, len(self.addresses)):
+            # Two that have both just begun are equal as well: that shows nothing of those they have not met.
+            if (low, high) == (0, len(self.addresses)) and not self.table.counts[State.UNKNOWN]:
                 self.settled = True
             return
         self.counts["differ"] += 1
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -10,7 +10,7 @@
 from dykefold.fleet.datagrams import Datagram, Kind, Record
 from dykefold.fleet.detector import Probe
 from dykefold.fleet.knowledge import BOUNDS, Topic
-from dykefold.fleet.pace import HEARD_OF_ONE_PER_S, LEAVING_NS, SECOND, Pace
+from dykefold.fleet.pace import HEARD_OF_ONE_PER_S, JOIN_MOST, LEAVING_NS, SECOND, Pace
 from dykefold.fleet.view import View
 from dykefold.fleet.words import State, conclude, incarnation_of, word
 from dykefold.sim.views import MS, Views
@@ -249,6 +249,21 @@
     assert max(steps) < 1.1 * min(steps)
 
 
+def test_newcomers_that_have_met_only_each_other_count_on_all_they_have_not_met() -> None:
+    """Guards against two that have just begun, under loss, whose equal words show nothing of the others."""
+    world = Views(7, 23)
+    for number in range(7):
+        world.start(number)
+    world.cut = lambda sender, peer: (sender < 2) != (peer < 2)
+    world.run(2 * SECOND)
+    both = [world.living[number] for number in (0, 1)]
+    assert [view.table.counts[State.ALIVE] for view in both] == [2, 2]
+    assert both[0].table.sum(0, 7) == both[1].table.sum(0, 7)
+    assert [view.live(world.now_ns) for view in both] == [list(range(7))] * 2
+    world.run(both[0].pace.ns(JOIN_MOST))  # in which whoever is there has had the time to come through
+    assert [view.live(world.now_ns) for view in both] == [[0, 1]] * 2
+
+
 def test_a_view_of_one_is_alone_and_steady() -> None:
     view = View([("10.3.0.1", 1)], 0, 0, 5, Pace(), random.Random(1), SECOND)
     view.tick(SECOND)
