Rig: an upgrade starts its second process, and a start that fails is a fault

Seen: the case "in the middle of an upgrade" of the cold start failed in some plays, "address in use".

Cause: the rig gave both processes of a member one door (`CONTROL_PORT`), where a second process needs another one (operators' page, upgrades). Ruled out: the program's own hand-over, which never began.

Now each process has a door of its own, a process that does not come to listen is a fault of the run, its elder is not ended, and the case wants 0.9.

--- a/dykefold/lab/fleet/run.py
+++ b/dykefold/lab/fleet/run.py
@@ -27,7 +27,6 @@
 
 LISTEN_PORT = 7070
 VIEW_PORT = 7950  # where a member tells its view
-CONTROL_PORT = 7960  # its door, where scenarios have upgrades
 READY_S = 30.0  # clients come when all members are ready, or after that (DEPLOY)
 DEATH_S = 0.1  # in which a killed process's clients hear of it
 QUIET_S = 0.3  # after the last request
@@ -71,7 +70,7 @@
     datagrams: int = 0
     datagram_bytes: int = 0
     lag_s: float = 0.0
-    faults: list[str] = field(default_factory=list)  # tracebacks in members' logs
+    faults: list[str] = field(default_factory=list)  # starts that failed, tracebacks in members' logs
     looks: list[Look] = field(default_factory=list)
     settled_s: float | None = None
     handshakes_worst: int = 0
@@ -190,6 +189,7 @@
         self.first_s = self.loop.time()
         self.ready_s: list[float | None] = [None] * fleet.members
         self.listens_s: dict[int, float] = {}  # since when each member's latest process listens
+        self.unstarted: list[str] = []  # why processes did not come to listen
         self.lag_s = self.start_lag_s = 0.0
         self.faults_end_s = 0.0  # since the load began
         self.watch = Watch([(host, VIEW_PORT) for host in hosts], self.up) if fleet.view else None
@@ -266,7 +266,7 @@
             ),
         }
         if any(fault.kind == "upgrade" for fault in self.scenario.faults):
-            data["control"] = f"{host}:{CONTROL_PORT}"
+            data["control"] = f"{host}:0"  # each process has a door of its own (docs/operators/operation.md)
         parts = [f'view = true\nlisten = "{host}:{VIEW_PORT}"'] if fleet.view else []
         if fleet.calls:
             parts.append(f"calls = true\ncalls_per_s = {fleet.calls_per_s}")
@@ -277,14 +277,15 @@
     # Members
 
     async def start(self, number: int) -> Process | None:
-        """Start a member anew with the list as it is; None if it did not come to listen."""
+        """Start a member anew with the list as it is; None if it did not come to listen, which is a fault."""
         member, zone = self.members[number], self.scenario.zone_of(number)
         known = self.registry.known(zone) if member.processes else self.first_known[zone]
         self.registry.told.pop(number, None)
         process = await member.start(known=known, peers=self.datagrams.addresses())
         try:
             await process.listens()
-        except StartError:
+        except StartError as error:
+            self.unstarted.append(f"m{number}: {error}")
             return None
         self.listens_s[number] = self.loop.time()
         if not any(self.ready_s):
@@ -311,7 +312,8 @@
     async def _upgrade(self, number: int, pause_s: float) -> None:
         """A newer process in place of the present one, which ends when that one takes clients."""
         old = self.members[number].living
-        await self.start(number)
+        if await self.start(number) is None:
+            return  # nobody ends a process whose successor says no
         for process in old:
             await process.end(TERM_S)
         await asyncio.sleep(pause_s)
@@ -530,7 +532,7 @@
             sum(self.datagrams.sent.values()),
             self.datagrams.bytes,
             self.lag_s,
-            [line for line in self._lines() if "Traceback" in line],
+            [*self.unstarted, *(line for line in self._lines() if "Traceback" in line)],
             self.watch.looks if self.watch is not None else [],
             settled_s,
             handshakes_worst=max((max(one.values(), default=0) for one in handshakes), default=0),
--- a/tests/fleet/test_coldstart_processes.py
+++ b/tests/fleet/test_coldstart_processes.py
@@ -69,7 +69,7 @@
     elif not any(fault.kind in ("slow-list", "move-list") for fault in faults):
         assert seen.turned_away <= 0.05 * sum(seen.calls)
     served = sum(seen.served) / sum(seen.asked)
-    assert served > 0.7
+    assert served > (0.9 if case == "in the middle of an upgrade" else 0.7)  # nobody is away then
 
 
 def test_each_by_itself_is_turned_away() -> None:
