A keyed request whose window ends before a repeat could go is failed at once

Seen, over real connections: a keyed request reset by its server as its window of 0.5 s ended was failed after 3.93, 3.93 and 3.93 s of a deadline of 4 s.

Cause: `_any_left` asked only for the number of attempts and for unsafe requests, so `_plan_repeat` planned again and again what `_may_send` turned down each time. Now it asks whether an attempt may go at the time at which the repeat would, windows included, and `_may_send` asks the same function. Sends are what they were: only the end is sooner. An overdue keyed attempt is no longer called off either when no repeat may follow it (`_rescue`).

--- a/dykefold/logic.py
+++ b/dykefold/logic.py
@@ -691,19 +691,15 @@
         attempts = req.attempts
         if not attempts:
             return not server.started or self._cold_allows(server, req.work, False)
-        if len(attempts) >= req.most:
+        if not self._any_left(req, self.now):
             return False
         spec = req.spec
-        for other, sent, state in attempts:
+        for other, _, state in attempts:
             if state == NEVER_RAN:
                 continue
             if state == OUT and not self.settings.second_copies:
                 return False
-            if spec.effect is Effect.UNSAFE:
-                return False
             if spec.effect is Effect.KEYED:
-                if self.now + self.settings.tick_ns >= sent + spec.window_ns:
-                    return False
                 if spec.scope is Scope.CELL and other.cell != server.cell:
                     return False
                 if spec.scope is Scope.ZONE and other.zone != server.zone:
@@ -713,9 +709,8 @@
     def _may_refuse(self, req: Open) -> bool:
         """Whether a refusal, which invites the client to try again, does no harm."""
         spec = req.spec
-        if spec.effect is Effect.SAFE or (spec.effect is Effect.KEYED and spec.scope is Scope.ALL):
-            return True
-        return req.never_ran()
+        free = spec.effect is Effect.SAFE or (spec.effect is Effect.KEYED and spec.scope is Scope.ALL)
+        return free or req.never_ran()
 
     def _send(self, req: Open, server: Server) -> None:
         now = self.now
@@ -760,7 +755,8 @@
             left <= 0
             or (not req.written and self.now + delay > req.send_by)
             or delay + BACKOFF_USEFUL * req.work.base > left
-            or (not first and ((self.retry_tokens < 1.0 and not req.charged) or not self._any_left(req)))
+            or (not first and self.retry_tokens < 1.0 and not req.charged)
+            or not self._any_left(req, self.now + delay)
         ):
             if not req.any_out():  # one still out may yet answer
                 self._end(req)
@@ -771,9 +767,13 @@
         req.planned = True
         self._at(self.now + max(delay, 1), REPEAT, req.id)
 
-    def _any_left(self, req: Open) -> bool:
-        """Whether the rules allow any further attempt at all, wherever it went."""
-        return len(req.attempts) < req.most and (req.spec.effect is not Effect.UNSAFE or req.never_ran())
+    def _any_left(self, req: Open, at: int) -> bool:
+        """Whether the rules allow any further attempt at that time, wherever it went."""
+        spec, tick = req.spec, self.settings.tick_ns
+        if spec.effect is Effect.SAFE or len(req.attempts) >= req.most:
+            return len(req.attempts) < req.most
+        lasts = spec.window_ns - tick if spec.effect is Effect.KEYED else 0  # an effect's key is known
+        return all(state == NEVER_RAN or at < sent + lasts for _, sent, state in req.attempts)
 
     def _repeat(self, req: Open) -> None:
         server = self._pick(req)
@@ -938,7 +938,7 @@
         """Repeat an attempt that its server seems to have lost, where the class and the site allow it."""
         if req.planned or req.streaming or req.spec.effect is Effect.UNSAFE:
             return
-        if self.retry_tokens < 1.0 or not self._any_left(req):
+        if self.retry_tokens < 1.0 or not self._any_left(req, self.now):
             return
         if self.settings.second_copies:
             self._plan_repeat(req)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -367,6 +367,28 @@
     sock.close()
 
 
+@on_loop
+async def test_a_keyed_request_that_is_lost_as_its_window_ends_is_failed_at_once(tmp_path):
+    """No repeat can follow any more: the client is not left to wait for the deadline."""
+    window_s = 0.5
+
+    async def lose(message, reader, writer):
+        await until(lambda: loop.time() - took[0] >= window_s)
+        reset(writer)
+
+    loop = asyncio.get_running_loop()
+    took = []
+    fake = await Fake(lose).start()
+    data = config(news(1, entry("s1", fake.address), entry("s2", fake.address)))
+    for spec in data["settings"]["classes"]:
+        spec["window-ns"] = int(window_s * 1000) * MS
+    async with Sidecar(tmp_path / "c", data) as sidecar:
+        took.append(loop.time())
+        assert (await ask(sidecar.port, message("hold", "ab", "4000m"))).code == 502
+        assert loop.time() - took[0] < 2.0  # half of its time; it was 3.93 s before
+    assert len(fake.got) == 1
+
+
 class Late(upstream.Connection):
     """A connection that hears late that what it had buffered has gone, as on uvloop by a turn."""
 
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -3,7 +3,7 @@
 import pytest
 from helpers import MS, SECOND, kinds, make, play_timers, request, send_one, serve
 
-from dykefold.interface import Effect, Fail, Outcome, Refuse, Send, Status, Timer
+from dykefold.interface import Effect, Fail, Outcome, Refuse, Scope, Send, Status, Timer
 
 
 def _finish(balancer, now, ident, server, status, attempt=0, final=False):
@@ -42,6 +42,18 @@
     assert [a.id for _, a in done if isinstance(a, Send)][:1] == [1]
 
 
+@pytest.mark.parametrize(("ended_ms", "sends"), [(20, True), (3999, False), (4100, False)])
+def test_a_keyed_request_is_failed_at_once_when_its_window_ends_before_a_repeat_could_go(ended_ms, sends):
+    """Guards clients against waiting to their deadline for an answer that is known."""
+    for seed in range(10):
+        balancer, now = make(effect=Effect.KEYED, scope=Scope.CELL, seed=seed)
+        first = send_one(balancer, now, 1, 10 * SECOND)
+        actions = _finish(balancer, now + ended_ms * MS, 1, first.server, Status.RESET)
+        assert (Fail(1) in actions) is not sends
+        done = _later(balancer, now + ended_ms * MS, actions)
+        assert any(isinstance(a, Send) for _, a in done) is sends
+
+
 def test_delays_are_jittered_and_grow_with_the_time_left():
     waits = {}
     for length in (SECOND, 4 * SECOND):
