An idle client connection whose next request is there is not closed as one too many

Seen by a test over real connections: with more idle connections than are of use, the longest idle one was closed over a request that stood in its socket: ConnectionResetError at the client, which has to send it again.

Cause: `Clients._let_go` closes who `Admission.surplus` names at once, and nobody looked at the socket, as `Front.leave` does for connections that were idle too long. Now `surplus` asks the edge; who has come back stays, and counts as heard just now. Left as it is: one that makes room for a newcomer while all places are taken goes whatever it holds.

The decision and the order by real connections are tests; the second was red before.

--- a/dykefold/admission/clients.py
+++ b/dykefold/admission/clients.py
@@ -53,6 +53,10 @@
         """Close at once."""
         ...
 
+    def asks(self) -> bool:
+        """Whether something of the client is there that was not read yet."""
+        ...
+
     def leave(self) -> None:
         """Close in such a way that nothing on its way is lost; not at all if it has just asked again."""
         ...
@@ -81,7 +85,7 @@
 
     def add(self, guest: Guest) -> None:
         self.all[guest.client] = guest
-        self._let_go(self.admission.surplus(self.monotonic()))
+        self._let_go(self.admission.surplus(self.monotonic(), self._asks))
 
     def remove(self, client: Client) -> None:
         """A connection has closed."""
@@ -105,7 +109,7 @@
             state = State.ONCE if guest.messages else State.SILENT
         self.admission.place(client, state, guest.owes, guest.messages, now)
         if state is State.ONCE and self.admission.asked > self.admission.working:
-            self._let_go(self.admission.surplus(now))
+            self._let_go(self.admission.surplus(now, self._asks))
 
     def progress(self, client: Client, size: int) -> None:
         """Count bytes of a body that has not come to its end."""
@@ -158,7 +162,7 @@
             guest = self.all.get(client)
             if guest is not None:
                 guest.leave()
-        self._let_go(self.admission.surplus(now))
+        self._let_go(self.admission.surplus(now, self._asks))
 
     def note(self, reason: Reason, host: str) -> None:
         """Log that a limit was met: one line now, then the number of times with the next line."""
@@ -169,6 +173,11 @@
             log.warning("limit met: %s; %d refused, last %s", WORDS[reason], self.met[reason], host)
             self.met[reason] = 0
 
+    def _asks(self, client: Client) -> bool:
+        """Guards a request that crosses the close of its connection: reset unread, it would be sent again."""
+        guest = self.all.get(client)
+        return guest is not None and guest.asks()
+
     def _let_go(self, clients: list[Client]) -> None:
         for client in clients:
             self._close(client)
--- a/dykefold/admission/rules.py
+++ b/dykefold/admission/rules.py
@@ -19,7 +19,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum, IntEnum, auto
 from itertools import takewhile
@@ -319,13 +319,21 @@
             return reading.greediest_youngest()
         return silent.greediest_oldest()
 
-    def surplus(self, now_s: float) -> list[Client]:
-        """Idle connections that nobody seems to come back for, while more are held than are of use."""
+    def surplus(self, now_s: float, asks: Callable[[Client], bool] = lambda _: False) -> list[Client]:
+        """Idle connections that nobody seems to come back for, while more are held than are of use.
+
+        Args:
+            asks: whether something of a client is there that was not read yet: it has come back.
+        """
         found: list[Client] = []
-        while self.asked > self.working and len(found) < SURPLUS_AT_ONCE:
-            client = self._unused(now_s)
+        for _ in range(SURPLUS_AT_ONCE):
+            client = self._unused(now_s) if self.asked > self.working else None
             if client is None:
                 break
+            if client.state is not None and asks(client):
+                self._exit(client)
+                self._enter(client, client.state, now_s)
+                continue
             self.leave(client)
             found.append(client)
         return found
--- a/dykefold/net/front.py
+++ b/dykefold/net/front.py
@@ -682,10 +682,14 @@
 
     def leave(self) -> None:
         """Close while nothing of this client is open, unless something of it waits to be read."""
-        if self.transport is not None and not self._watch_end().poll(0):
+        if self.transport is not None and not self.asks():
             self._leave()
             self.engine.clients.place(self)
 
+    def asks(self) -> bool:
+        """Whether bytes of the client, or its end, are there that were not read yet."""
+        return self.transport is not None and bool(self._watch_end().poll(0))
+
     def gone(self) -> bool:
         """Whether the client has closed, also where that stands behind what was not read yet.
 
--- a/tests/admission/test_admission_rules.py
+++ b/tests/admission/test_admission_rules.py
@@ -225,6 +225,19 @@
     assert all(client.state is State.KEPT for client in reused)
 
 
+def test_an_idle_one_whose_next_request_is_there_stays_and_the_others_go():
+    admission = make(connections=400, usable=120)
+    once = [enter(admission, now=0.0, state=State.ONCE) for _ in range(100)]
+    back = set(once[:6])
+    gone = []
+    for _ in range(100):  # each asks for some, however many of the first have come back
+        found = admission.surplus(30.0, back.__contains__)
+        assert len(found) <= rules.SURPLUS_AT_ONCE
+        gone += found
+    assert not back.intersection(gone) and len(gone) == 100 - admission.asked
+    assert admission.asked == admission.working
+
+
 def test_idle_ones_within_the_working_set_stay():
     admission = make(connections=400, usable=120)
     clients = [enter(admission, now=0.0, state=State.BUSY) for _ in range(30)]
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -34,6 +34,7 @@
 )
 from test_net_upstream import full_listener, make
 
+from dykefold.admission import rules
 from dykefold.interface import Status
 from dykefold.net import front as front_module
 from dykefold.net import upstream
@@ -249,6 +250,33 @@
     assert len(fake.got) == 2
 
 
+@on_loop
+async def test_a_request_that_is_there_when_its_connection_is_one_too_many_is_served(tmp_path, monkeypatch):
+    """Idle connections beyond those of use go, the longest idle first: the one whose client just came back."""
+    monkeypatch.setattr(rules, "IDLE_MOST_S", 3 * WAIT)
+    async with one_server(tmp_path, answer_ok) as (sidecar, fake):
+        admission = sidecar.engine.clients.admission
+        admission.gap_s = 3 * WAIT  # nobody is one too many yet
+        opened = []
+        while admission.asked <= admission.working + rules.SURPLUS_AT_ONCE:
+            reader, writer = await asyncio.open_connection(HOST, sidecar.port)
+            writer.write(message("order", f"id{len(opened)}"))
+            assert (await read_message(reader)).code == 200
+            opened.append((reader, writer))
+        monkeypatch.setattr(rules, "GAP_LEAST_S", 0.0)
+        admission.gap_s = admission.gap_deviation_s = 0.0
+        data = message("order", "again")
+        reader, writer = opened[0]
+        # Into the kernel now, not in a later turn; then in the same turn, before it is read:
+        assert os.write(writer.get_extra_info("socket").fileno(), data) == len(data)
+        sidecar.engine.clients.sweep()
+        assert (await read_message(reader)).code == 200
+        assert await opened[1][0].read() == b""  # the next one was one too many indeed
+        for _, writer in opened:
+            writer.close()
+    assert len(fake.got) == len(opened) + 1
+
+
 @on_loop
 async def test_half_a_request_that_is_there_at_the_planned_end_is_served(tmp_path):
     async with one_server(tmp_path, answer_ok) as (sidecar, fake):
