--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -252,7 +252,7 @@
 
 @on_loop
 async def test_a_request_that_is_there_when_its_connection_is_one_too_many_is_served(tmp_path, monkeypatch):
-    """Idle connections beyond those of use go, the longest idle first: the one whose client just came back."""
+    """Of idle connections beyond those of use the longest idle goes: its client comes back just then."""
     monkeypatch.setattr(rules, "IDLE_MOST_S", 3 * WAIT)
     async with one_server(tmp_path, answer_ok) as (sidecar, fake):
         admission = sidecar.engine.clients.admission
