Tests: a failed call beside a silent one, a deadline in a pause, SIGTERM in a hand-over

The pairs that the table of crossings named without a test of their own, each order forced: a second call of discovery that fails beside a silent one, then answered by either; a repeat and the deadline due in the same late turn; SIGTERM to the older process before the newer one's yes, and to the newer one after it, under load.

--- a/dykefold/lab/fleet/upgrades.py
+++ b/dykefold/lab/fleet/upgrades.py
@@ -213,6 +213,21 @@
     await asyncio.gather(it.end(old), it.stop(new))
 
 
+async def old_told_to_end_before_yes(it: World) -> None:
+    old, new = it.member.living[-1], await it.member.start()
+    await new.says("the door is at")
+    old.terminate()
+    await it.says_yes(new)
+    await it.end(old)
+
+
+async def new_told_to_end_after_yes(it: World) -> None:
+    """The upgrade is called off: the older process has its clients again."""
+    new = await it.member.start()
+    await it.says_yes(new)
+    await it.end(new)
+
+
 async def old_killed_while_it_ends(it: World) -> None:
     old, new = it.member.living[-1], await it.member.start()
     await it.says_yes(new)
@@ -260,6 +275,8 @@
     "new stopped at its yes": new_stopped_at_yes,
     "new stopped after its yes": new_stopped_after_yes,
     "new stopped while the old one ends": new_stopped_while_old_ends,
+    "old told to end before the new one's yes": old_told_to_end_before_yes,
+    "new told to end after its yes": new_told_to_end_after_yes,
     "old killed while it ends": old_killed_while_it_ends,
     "old stopped while it ends": old_stopped_while_it_ends,
     "old stopped at the start": old_stopped_at_the_start,
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -140,6 +140,30 @@
         assert len(fake.got) == 1
 
 
+@on_loop
+async def test_a_deadline_that_passes_in_the_pause_before_a_repeat_ends_the_request(tmp_path, monkeypatch):
+    """A late loop finds the repeat's timer and the deadline due in one turn: nothing more goes out."""
+
+    async def turn_away(message, reader, writer):
+        writer.write(reply(503, b"", "X-Not-Run: 1"))
+
+    async with one_server(tmp_path, turn_away) as (sidecar, fake):
+        pool = sidecar.engine.pool
+        plan_repeat, planned = pool.balancer._plan_repeat, []
+
+        def plan_and_stand_still(req):
+            plan_repeat(req)
+            planned.append(req.planned)
+            if len(planned) == 1:
+                time.sleep(0.5)  # past the pause, and past the deadline
+
+        monkeypatch.setattr(pool.balancer, "_plan_repeat", plan_and_stand_still)
+        assert (await ask(sidecar.port, message("order", "ab", "400m"))).code == 503
+        assert planned[0]
+        assert not pool.held
+    assert len(fake.got) == 1
+
+
 @on_loop
 async def test_a_request_whose_client_left_before_it_was_read_is_not_sent(tmp_path):
     async with one_server(tmp_path, answer_ok) as (sidecar, fake):
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -181,6 +181,40 @@
     both.close()
 
 
+@pytest.mark.parametrize("answers", ["the silent one", "the third"])
+@on_loop
+async def test_a_call_beside_a_silent_one_that_fails_ends_neither_of_them(answers, monkeypatch):
+    """The silent one may speak yet; and the call after the failure is made as after any failure."""
+    monkeypatch.setattr(discovery, "WATCH_ASKED_MS", 100)
+    monkeypatch.setattr(discovery, "OVERDUE_ASKED", 0.05)
+
+    async def act(message, reader, writer):
+        calls.append(writer)
+        if len(calls) == 2:
+            writer.write(reply(503, b""))
+        elif len(calls) == 3 and answers == "the third":
+            writer.write(listing(41, DRAINED))
+
+    calls, heard = [], []
+    fake = await Fake(act).start()
+    asker = watcher(fake, heard)
+    await until(lambda: heard)
+    monkeypatch.undo()  # no further call is overdue
+    assert heard == [None] and not asker.watching and len(calls) == 2
+    assert fake.connections - fake.ended >= 1 and not calls[0].is_closing()
+    if answers == "the third":
+        asker.watch(True)  # as the module says after its pause
+    else:
+        calls[0].write(listing(41, DRAINED))
+    await until(lambda: len(heard) > 1)
+    assert heard[1].version == asker.version == 41 and asker.watching
+    await until(lambda: len(calls) > (3 if answers == "the third" else 2))
+    assert "after=41&" in fake.got[-1].first  # one watch goes on, whichever told
+    asker.watch(True)  # the module's own timer, which is late, opens no second one
+    assert len(asker.open) == 1
+    asker.close()
+
+
 @on_loop
 async def test_what_the_old_discovery_tells_after_a_move_counts_until_the_new_one_has_told_its_list():
     """SIGHUP crosses a change: the old one has written it, the new one is slow."""
