What goes out on a connection that came up late: the time that is left, and nothing to a left address

Seen by tests over real connections that come up after a second: a server was told `X-Deadline: 3984m` when 2,980 ms were left; and a request whose server had moved to another address meanwhile was written to the old one, unsafe ones too (answered 502 at its deadline, may have run).

Causes: `Pool._send` wrote the message when the attempt was decided on, not when it goes out; `Upstreams.update` gave up what waits for a connection only where a server stops taking new requests, not where its address changes, so that `_connect` sent on a connection to the address that it had begun with. Ruled out: idle connections (closed at the change), the connection that `keep` hands on (its generation is looked at).

Now `Exchange.compose` gives the bytes at the moment of the write, and what waits at a changed address is given up as never run, and goes on to the new one. Both tests were red before; the deadline is told anew only after 1 ms, so that the usual path builds each message once.

--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -104,7 +104,7 @@
 class Attempt(Exchange):
     """One try of a request at one server."""
 
-    __slots__ = ("answered_ns", "held", "moved", "number", "sent_ns", "server", "write_by_ns")
+    __slots__ = ("answered_ns", "held", "moved", "number", "sent_ns", "server", "until_ns", "write_by_ns")
 
     def __init__(self, held: Held, number: int, server: int, sent_ns: int) -> None:
         super().__init__(b"", held.ended, BODY_MOST)
@@ -117,6 +117,7 @@
         self.sent_ns = sent_ns
         self.answered_ns = 0  # when an answer began that is passed on as it comes
         self.moved = -1  # bytes of what flows, when they were last looked at
+        self.until_ns = 0  # when it is given up; 0: its body is still on its way
         self.write_by_ns = 0  # when a connection comes later than this it is not written; 0: no such time
 
     def expire(self) -> None:
@@ -148,6 +149,14 @@
             return False  # it would be a second effect: its key is remembered no longer
         return not self.held.asker.gone()
 
+    def compose(self) -> bytes:
+        """The message; where its connection came up late its server is told the time that is left now."""
+        pool = self.held.pool
+        now = pool.now()
+        if self.until_ns and now - self.sent_ns >= MS:
+            self.payload = pool.message(self.held.call, self.until_ns - now)
+        return self.payload
+
     def limit(self, after_s: float) -> None:
         """Give it another time limit, from now on."""
         if self.deadlines is not None and not self.ended:
@@ -545,7 +554,8 @@
         if held.attempts > held.most or wait <= 0 or not attempt.wanted() or not self._claim_attempt(held):
             attempt.end(Status.MOOT)
             return
-        attempt.payload = self._payload(held.call, held.call.wait_ns if flows else wait)
+        attempt.until_ns = 0 if flows else now + wait
+        attempt.payload = self.message(held.call, held.call.wait_ns if flows else wait)
         self.upstreams.start(action.server, attempt, wait / SECOND)
 
     def _window_end(self, held: Held) -> int:
@@ -570,7 +580,8 @@
         return True
 
     @staticmethod
-    def _payload(call: Call, wait: int) -> bytes:
+    def message(call: Call, wait: int) -> bytes:
+        """A request as a server gets it, with the nanoseconds that it is told to have."""
         if call.upload is not None:
             announced = call.upload.length
             length = b"Transfer-Encoding: chunked\r\n"
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -118,6 +118,10 @@
         """Whether it may still be written, now that a connection is there."""
         return True
 
+    def compose(self) -> bytes:
+        """What is written, now that a connection is there."""
+        return self.payload
+
     def upload_begins(self) -> None:
         """Its body has begun to flow: it can't be sent again."""
 
@@ -509,8 +513,9 @@
         # while the loop was busy, and a request written after it would count as one that may have run.
         if self.came.poll(0):
             return False
+        payload = exchange.compose()
         try:
-            sent = self.sock.send(exchange.payload)
+            sent = self.sock.send(payload)
         except BlockingIOError:
             sent = 0
         except OSError:
@@ -521,20 +526,20 @@
         self.exchange = exchange
         exchange.connection = self
         self.blocked = False
-        if sent < len(exchange.payload):
-            self._write_rest(exchange, sent)
+        if sent < len(payload):
+            self._write_rest(exchange, payload, sent)
         if exchange.upload is not None and exchange.upload.attach(
             self, lambda: exchange.give_up(Status.RESET)
         ):
             exchange.upload_begins()
         return True
 
-    def _write_rest(self, exchange: Exchange, sent: int) -> None:
+    def _write_rest(self, exchange: Exchange, payload: bytes, sent: int) -> None:
         assert self.transport is not None
         self.unwritten = True
-        rest = memoryview(exchange.payload)[sent:]
+        rest = memoryview(payload)[sent:]
         if exchange.upload is None:  # else its last byte is the last of the body
-            rest, self.last = rest[:-1], exchange.payload[-1:]
+            rest, self.last = rest[:-1], payload[-1:]
         if rest:
             self.transport.write(rest)
         if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
@@ -670,6 +675,8 @@
             target = self.targets[server] = Target(address, since_ms, Ages(self.idle_most, alike))
         elif target.since_ms != since_ms or target.address != address:
             self.close_idle(server)
+            if target.address != address:  # what comes up there is this server's no more
+                self._give_up_opening(target)
             target.since_ms, target.address = since_ms, address
             target.generation += 1
         target.takes_new = state is State.READY
@@ -677,8 +684,12 @@
             self.close_idle(server)
             # Guards a drain against requests that still wait for a connection: their first byte would
             # go out after the server was told to be left alone.
-            for exchange in list(target.opening):
-                exchange.give_up(Status.CONNECT_FAILED)
+            self._give_up_opening(target)
+
+    @staticmethod
+    def _give_up_opening(target: Target) -> None:
+        for exchange in list(target.opening):
+            exchange.give_up(Status.CONNECT_FAILED)
 
     def forget(self, server: int) -> None:
         """Drop a server that is gone; what is out there keeps its connection."""
@@ -861,7 +872,6 @@
 
     def close(self) -> None:
         for target in self.targets.values():
-            for exchange in list(target.opening):
-                exchange.give_up(Status.CONNECT_FAILED)
+            self._give_up_opening(target)
         for connection in list(self.connections):
             connection.close()
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -441,6 +441,81 @@
     assert len(fake.got) == 1
 
 
+@on_loop
+async def test_a_server_is_told_the_time_that_is_left_when_its_connection_has_come_up(tmp_path):
+    """Connections come up late; the time that passed meanwhile is not the server's any more."""
+    sock, fill = full_listener()
+    data = config(news(1, entry("s1", f"{HOST}:{sock.getsockname()[1]}")))
+    data["settings"]["ceilings"]["connect-timeout-ns"] = 20_000 * MS
+    async with Sidecar(tmp_path / "c", data) as sidecar:
+        pool, loop = sidecar.engine.pool, asyncio.get_running_loop()
+        asked = asyncio.create_task(ask(sidecar.port, message("order", "ab", "4000m", b"body")))
+        await until(lambda: pool.attempts)
+        (attempt,) = pool.attempts.values()
+        for filler in fill:
+            filler.close()
+        sock.setblocking(False)
+        opened = []
+
+        async def take():
+            while True:
+                reader, writer = await asyncio.open_connection(sock=(await loop.sock_accept(sock))[0])
+                opened.append(writer)
+                tasks.append(asyncio.create_task(serve(reader, writer)))
+
+        async def serve(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+                got = await read_message(reader)
+                told.append((pool.now(), got))
+                writer.write(reply(200, got.body))
+
+        told, tasks = [], []
+        tasks.append(asyncio.create_task(take()))
+        assert (await asked).body == b"body"
+        (came, got), sent = told[0], attempt.sent_ns
+        assert came - sent > 200 * MS  # its system asks for the connection again after a second
+        left_ms = 4000 - (came - sent) // MS
+        assert int(got.headers["x-deadline"][:-1]) < left_ms + 100
+        for task in tasks:
+            task.cancel()
+        for writer in opened:
+            writer.close()
+    sock.close()
+
+
+@on_loop
+async def test_a_connection_that_comes_up_where_its_server_no_longer_is_carries_nothing(tmp_path):
+    """The list names another address while the connect to the old one is still on its way."""
+    sock, fill = full_listener()
+    new = await Fake(answer_ok).start()
+    data = config(news(1, entry("s1", f"{HOST}:{sock.getsockname()[1]}")))
+    data["settings"]["ceilings"]["connect-timeout-ns"] = 20_000 * MS
+    async with Sidecar(tmp_path / "c", data) as sidecar:
+        pool, loop = sidecar.engine.pool, asyncio.get_running_loop()
+        asked = asyncio.create_task(ask(sidecar.port, message("order", "ab", "4000m")))
+        await until(lambda: pool.attempts)
+        pool.on_news(read_news(news(2, entry("s1", new.address), snapshot=False), pool.names))
+        for filler in fill:
+            filler.close()
+        sock.setblocking(False)
+        taken = []
+
+        async def take():
+            while True:
+                taken.append((await loop.sock_accept(sock))[0])
+
+        task = asyncio.create_task(take())
+        assert (await asked).code == 200
+        task.cancel()
+        for one in taken:
+            one.setblocking(False)
+            with contextlib.suppress(OSError):
+                assert not one.recv(4096)
+            one.close()
+    sock.close()
+    assert len(new.got) == 1
+
+
 class Late(upstream.Connection):
     """A connection that hears late that what it had buffered has gone, as on uvloop by a turn."""
 
--- a/tests/test_net_requests.py
+++ b/tests/test_net_requests.py
@@ -259,10 +259,10 @@
                 raise ZeroDivisionError("of the program")
 
             engine = sidecar.engine
-            engine.pool._payload = broken
+            engine.pool.message = broken
             assert (await ask(sidecar.port, message("order", "ab", "300m"))).code == 503
             assert not engine.pool.held and not engine.pool.attempts
-            del engine.pool._payload
+            del engine.pool.message
             assert (await ask(sidecar.port, message("order", "cd"))).code == 200
 
     run(play())
