--- a/dykefold/lab/fleet/run.py
+++ b/dykefold/lab/fleet/run.py
@@ -123,7 +123,7 @@
             "view_settled_s": None if self.settled_s is None else round(self.settled_s, 2),
             "asked_by_second": self.asked,
             "served_by_second": self.served,
-            "tracebacks": self.faults,
+            "faults": self.faults,
         }
 
 
