An answer that is there when its time ends is read before it is given up

Seen by tests over real connections whose loop stands still: an order whose server had answered was told as failed, 502 when the loop was late over the attempt's limit, 504 past the deadline; and an answer whose second part was in the socket was broken off after the 0.5 s that it may stand (502). Timers fire before sockets are read.

Lines: `Exchange.expire` and `Pool.guard` gave up without a look at the socket, as only calls of discovery had one (`ListCall.expire`); `_look_for_more` compared what was read, not what had come.

Now each end of time asks poll(2) first and gives what waits 4 ms, once: what is read then ends it, and a fourth test shows that an answer that began and stops is not waited for any longer.

--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -32,7 +32,7 @@
 AGAIN_PUSHED = 0.25  # seconds until the agent is called again that did not answer at once, or failed
 OPEN_MOST = CALLS - 1  # calls of one watch that are out at once; the oldest goes
 ANSWER_WITHIN = 3.5  # seconds beyond a watch's own wait: discovery works through calls in turn
-READ_WITHIN = 0.1  # seconds more for an answer that has come and was not read yet
+LIST_READ_WITHIN = 0.1  # seconds more for an answer that has come and was not read yet: lists are long
 CONNECT_WITHIN = 2.0
 LIST_MOST = 4 * 1024 * 1024
 CALLS_APART = 0.1  # seconds between calls that are answered at once with nothing new
@@ -190,18 +190,10 @@
 
 
 class ListCall(Exchange):
-    """A call of discovery."""
+    """A call of discovery. An answer that is there when its time is up has been told."""
 
     __slots__ = ()
-
-    def expire(self) -> None:
-        """Its time is up, unless its answer is there and only this loop is late: it was told by then."""
-        connection = self.connection
-        if connection is not None and not connection.size and connection.came.poll(0):
-            assert self.deadlines is not None
-            self.deadlines.start(self, READ_WITHIN, connection.monotonic())
-        else:
-            super().expire()
+    read_within = LIST_READ_WITHIN
 
 
 class Source:
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -32,7 +32,7 @@
 from .peers import Address, Peers
 from .reports import Reports
 from .stream import Upload
-from .upstream import Answer, Exchange, Manner, Upstreams
+from .upstream import READ_WITHIN, Answer, Exchange, Manner, Upstreams
 
 log = logging.getLogger("dykefold")
 
@@ -127,7 +127,7 @@
         that has stopped.
         """
         if not self._flowing() or not self._moves():
-            self.give_up(Status.TIMEOUT)
+            super().expire()
         elif self.deadlines is not None:
             self.deadlines.start(self, STALL_S, self.held.pool.monotonic())
 
@@ -458,10 +458,14 @@
         """Time is up: whatever the module still plans, the client gets its answer now."""
         if not held.owed:
             return
-        for number in range(held.attempts):
-            attempt = self.attempts.get((held.id, number))
-            if attempt is not None:
-                attempt.give_up(Status.TIMEOUT)
+        out = [a for n in range(held.attempts) if (a := self.attempts.get((held.id, n))) is not None]
+        there = [attempt.read_first() for attempt in out]
+        if any(there):
+            self.deadlines.stop(held)
+            self.deadlines.start(held, READ_WITHIN, self.monotonic())
+            return
+        for attempt in out:
+            attempt.give_up(Status.TIMEOUT)
         if held.owed:
             self._finish_late(held)
             self.post(api.Dropped(held.id))
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -28,6 +28,7 @@
 HEADERS_MOST = 32 * 1024
 STALL_MOST = 0.5  # seconds without a byte of an answer that has begun: servers write it when it is ready
 RECEIVE_BYTES = 128 * 1024  # of the kernel's buffer: one read brings no more, and a slow client holds one
+READ_WITHIN = 0.004  # seconds more for an answer that is there and was not read: sockets come after timers
 DEAD_WITHIN = 0.05  # seconds after a request was written: what resets it so soon never read it
 IDLE_PART = 0.7  # of the time after which a server may close an idle connection
 BLANKS = b" \t"  # round a value they are no part of it (RFC 9112, 5); the parser leaves those behind it
@@ -83,6 +84,7 @@
         "stream_most",
         "upload",
     )
+    read_within = READ_WITHIN
 
     def __init__(self, payload: bytes, done: Done, answer_most: int) -> None:
         self.tick = 0
@@ -112,7 +114,22 @@
         done(self, status, answer)
 
     def expire(self) -> None:
-        self.give_up(Status.TIMEOUT)
+        """Its time is up, unless its answer is there and only this loop is late."""
+        if not self.read_first():
+            self.give_up(Status.TIMEOUT)
+
+    def read_first(self) -> bool:
+        """Give an answer that waits in its socket the time to be read; whether there is one.
+
+        Guards what has been served against being told as failed: in a late loop timers fire first. It is
+        done once, as what has been read of an answer ends it.
+        """
+        connection = self.connection
+        if connection is None or connection.size or self.deadlines is None or not connection.came.poll(0):
+            return False
+        self.deadlines.stop(self)
+        self.deadlines.start(self, self.read_within, connection.monotonic())
+        return True
 
     def wanted(self) -> bool:
         """Whether it may still be written, now that a connection is there."""
@@ -371,7 +388,8 @@
         self.stalled = self.upstreams.loop.call_later(STALL_MOST, self._look_for_more, before)
 
     def _look_for_more(self, before: int) -> None:
-        if self.size == before:
+        # What waits in the socket, or for its turn, has come: only this loop is late.
+        if self.size == before and self.unfed is None and not self.came.poll(0):
             self._break()
         else:
             self._await_more(self.size)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -441,6 +441,60 @@
     assert len(fake.got) == 1
 
 
+@contextlib.asynccontextmanager
+async def asked_of_a_raw_server(tmp_path, request):
+    """A request that one server has read: the pool, the task of its answer, and the server's socket."""
+    sock = socket.create_server((HOST, 0))
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    data = config(news(1, entry("s1", f"{HOST}:{sock.getsockname()[1]}")))
+    with sock:
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            asked = asyncio.create_task(ask(sidecar.port, request))
+            server, _ = await loop.sock_accept(sock)
+            with server:
+                await loop.sock_recv(server, 4096)
+                yield sidecar.engine.pool, asked, server
+
+
+@on_loop
+async def test_the_rest_of_an_answer_that_waits_unread_in_a_late_loop_is_read(tmp_path):
+    """An answer that stalls is broken off; in a late loop the timer for that fires before it is read."""
+    whole = reply(200, b"served")
+    async with asked_of_a_raw_server(tmp_path, message("order", "ab")) as (pool, asked, server):
+        server.send(whole[:-3])
+        connection = next(iter(pool.attempts.values())).connection
+        await until(lambda: connection.stalled is not None)
+        loop = asyncio.get_running_loop()
+        stand_still(loop, upstream.STALL_MOST + STILL, lambda: server.send(whole[-3:]))
+        got = await asked
+        assert (got.code, got.body) == (200, b"served")
+
+
+@pytest.mark.parametrize("loop_late_s", [0.385, 0.6], ids=["at the attempt's limit", "past the deadline"])
+@on_loop
+async def test_an_answer_that_waits_unread_when_its_time_is_up_is_given(tmp_path, loop_late_s):
+    """An order that was served is not told as failed since the loop was late."""
+    request = message("order", "ab", "400m")
+    async with asked_of_a_raw_server(tmp_path, request) as (pool, asked, server):
+        (attempt,) = pool.attempts.values()
+        loop = asyncio.get_running_loop()
+        still_s = loop_late_s - (pool.now() - attempt.sent_ns) / 1e9
+        stand_still(loop, still_s, lambda: server.send(reply(200, b"served")))
+        assert (await asked).code == 200
+        assert not pool.held and not pool.attempts
+
+
+@on_loop
+async def test_an_answer_that_began_and_stops_is_not_waited_for_beyond_its_time(tmp_path):
+    """The time that is given for reading is given once."""
+    whole = reply(200, b"served")
+    async with asked_of_a_raw_server(tmp_path, message("order", "ab", "400m")) as (pool, asked, server):
+        stand_still(asyncio.get_running_loop(), 0.6, lambda: server.send(whole[:-3]))
+        assert (await asked).code == 502
+        assert not pool.held and not pool.attempts
+
+
 @on_loop
 async def test_a_server_is_told_the_time_that_is_left_when_its_connection_has_come_up(tmp_path):
     """Connections come up late; the time that passed meanwhile is not the server's any more."""
