The module's timers ring after sockets have been read where the loop is late

Seen by a test over real connections: a loop that stood still over an attempt's doubt counted a strike against a server whose answer was in the socket, `_strike(server, 0.5, 0.34)`; four of these eject a server, with its attempts called off.

Now a bell that is more than 20 ms late rings 1 ms later, behind one reading of the sockets.

--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 from collections import Counter, deque
 from collections.abc import Callable, Mapping
 from dataclasses import replace
@@ -40,6 +41,8 @@
 STALL_S = 3.0  # seconds in which a body or an answer that flows must move, where its server has the turn
 GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
 PROBE_TIMEOUT = 0.4  # seconds
+NEXT_TURN_S = 0.001  # the least that is a timer: uvloop takes none at all for `call_soon`, before sockets
+LATE_S = 0.02  # by which the loop may ring for the module before it doubts itself
 BODIED = frozenset((b"POST", b"PUT", b"PATCH"))  # methods whose requests say that their body is empty
 
 
@@ -368,10 +371,19 @@
 
     def _set_timer(self, action: api.SetTimer) -> None:
         # Whole milliseconds, upwards: the loop counts in these, and an early bell rings for nothing.
-        self.loop.call_later(-(-action.after_ns // MS) / 1000, self._ring, action.token)
+        after_s = -(-action.after_ns // MS) / 1000
+        self.loop.call_later(after_s, self._ring, action.token, self.monotonic() + after_s)
 
-    def _ring(self, token: int) -> None:
-        if not self.closed:
+    def _ring(self, token: int, due_s: float) -> None:
+        """Tell the module that a time has come; in a late loop when sockets have been read, one turn on.
+
+        Guards servers against being held for silent while their answers wait here.
+        """
+        if self.closed:
+            return
+        if self.monotonic() - due_s > LATE_S:
+            self.loop.call_later(NEXT_TURN_S, self._ring, token, math.inf)
+        else:
             self.post(api.Timer(token))
 
     def _watch(self, on: bool) -> None:
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -36,6 +36,7 @@
 
 from dykefold.admission import rules
 from dykefold.interface import Status
+from dykefold.logic import OVERDUE
 from dykefold.net import front as front_module
 from dykefold.net import upstream
 from dykefold.net.discovery import read_news
@@ -485,6 +486,21 @@
         assert not pool.held and not pool.attempts
 
 
+@on_loop
+async def test_a_server_whose_answer_waits_unread_in_a_late_loop_is_not_held_for_silent(
+    tmp_path, monkeypatch
+):
+    """The module's timer for an overdue attempt fires before the answer is read."""
+    async with asked_of_a_raw_server(tmp_path, message("lookup", "ab")) as (pool, asked, server):
+        strikes = []
+        monkeypatch.setattr(pool.balancer, "_strike", lambda *args: strikes.append(args))
+        (due_ns,) = [due for due, kind, *_ in pool.balancer.timers if kind == OVERDUE]
+        still_s = (due_ns - pool.now()) / 1e9 + STILL
+        stand_still(asyncio.get_running_loop(), still_s, lambda: server.send(reply(200, b"served")))
+        assert (await asked).code == 200
+        assert not strikes
+
+
 @on_loop
 async def test_an_answer_that_began_and_stops_is_not_waited_for_beyond_its_time(tmp_path):
     """The time that is given for reading is given once."""
