Simulation: a world of clients that leave, which finds a program that never asks for them

World `leaving`: half of the clients leave, pauses, crashes, silent and slow nodes, three in ten requests sent ahead. The draws of the other worlds are as they were.

--- a/dykefold/sim/schedule.py
+++ b/dykefold/sim/schedule.py
@@ -145,6 +145,7 @@
         calls: they spread their calls of the list service.
         failover: they may work away from their zone.
         ahead: of the requests are sent ahead of an answer, on a connection that waits for one.
+        leaves: of the clients go away before their answer.
     """
 
     servers: int
@@ -155,6 +156,7 @@
     deadlines_ms: tuple[int, ...]
     shares: tuple[float, ...]
     ahead: float = 0.08
+    leaves: float = 0.04
     large_every: int = 0
     zones: str = "ab"
     spread: bool = False
@@ -176,7 +178,13 @@
         (1000, 800, 1200), (0.8, 0.1, 0.1),
     ),
     "storm": World(3, 1, 90.0, 2.5, PLATFORM, (400, 300, 500), (0.4, 0.3, 0.3)),
-    "services": World(6, 1, 60.0, 0.8, PLATFORM, (1000, 800, 1200), (0.4, 0.3, 0.3), 0.08, 8),
+    "leaving": World(
+        4, 1, 90.0, 2.0, (Kind.PAUSE, Kind.CRASH, Kind.SILENT, Kind.SLOW, Kind.TERM),
+        (1000, 800, 1200), (0.5, 0.28, 0.22), 0.3, 0.5,
+    ),
+    "services": World(
+        6, 1, 60.0, 0.8, PLATFORM, (1000, 800, 1200), (0.4, 0.3, 0.3), 0.08, large_every=8
+    ),
     "upgrade": World(
         5, 2, 40.0, 1.2,
         (*[Kind.UPGRADE] * 4, Kind.KILL, Kind.PAUSE, Kind.BAN, Kind.DISK, Kind.DRAIN, Kind.MOVE, Kind.CRASH),
@@ -260,7 +268,7 @@
             number += 1
             cls = chance.choices(range(len(world.shares)), world.shares)[0]
             most = world.deadlines_ms[cls]
-            leaves = chance.randrange(1, most) if chance.random() < 0.04 else 0
+            leaves = chance.randrange(1, most) if chance.random() < world.leaves else 0
             found.append(
                 Arrival(
                     number,
--- a/tests/sim/mutants.py
+++ b/tests/sim/mutants.py
@@ -132,6 +132,14 @@
         "None for name, sign",
         "upgrade",
     ),
+    Mutant(
+        "nobody asks whether a client is there",
+        "net/front.py",
+        "        if not found or not found[0][1] & (END_BOTH if self.engine.half_close else END):\n"
+        "            return False\n",
+        "        return False\n",
+        "leaving",
+    ),
     Mutant(
         "keyed requests are repeated anywhere",
         "logic.py",
