A connect whose time is up in a late loop is used if it stands, and else says nothing of its server

Seen by tests over real connections: a connection that came up while the loop stood still was thrown away unused, the server struck (1.0 of the 2.0 that eject it); and a connect that the loop had not begun when its time was up did the same.

Cause: `Upstreams._connect` took any time-out for the server's; the loop's timer fires before it hears that a socket can be written. Now, where the time-out itself came more than 20 ms late, getpeername(2) tells whether the connection stands, and a connect that does not ends as moot, which counts against nobody. In time, all is as it was.

Both tests were red before. The simulation's sockets say that they are not connected while they are not.

--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -33,7 +33,7 @@
 from .peers import Address, Peers
 from .reports import Reports
 from .stream import Upload
-from .upstream import READ_WITHIN, Answer, Exchange, Manner, Upstreams
+from .upstream import LATE_S, READ_WITHIN, Answer, Exchange, Manner, Upstreams
 
 log = logging.getLogger("dykefold")
 
@@ -42,7 +42,6 @@
 GUARD_MARGIN_NS = 8 * MS  # ... and a request that then still has no answer gets one
 PROBE_TIMEOUT = 0.4  # seconds
 NEXT_TURN_S = 0.001  # the least that is a timer: uvloop takes none at all for `call_soon`, before sockets
-LATE_S = 0.02  # by which the loop may ring for the module before it doubts itself
 BODIED = frozenset((b"POST", b"PUT", b"PATCH"))  # methods whose requests say that their body is empty
 
 
--- a/dykefold/net/upstream.py
+++ b/dykefold/net/upstream.py
@@ -29,6 +29,7 @@
 STALL_MOST = 0.5  # seconds without a byte of an answer that has begun: servers write it when it is ready
 RECEIVE_BYTES = 128 * 1024  # of the kernel's buffer: one read brings no more, and a slow client holds one
 READ_WITHIN = 0.004  # seconds more for an answer that is there and was not read: sockets come after timers
+LATE_S = 0.02  # by which the loop may heed a time before it doubts itself
 DEAD_WITHIN = 0.05  # seconds after a request was written: what resets it so soon never read it
 IDLE_PART = 0.7  # of the time after which a server may close an idle connection
 BLANKS = b" \t"  # round a value they are no part of it (RFC 9112, 5); the parser leaves those behind it
@@ -614,6 +615,15 @@
         sever(self.sock, self.transport, discard)
 
 
+def _stands(sock: socket.socket) -> bool:
+    """Whether a connection that was begun has come up."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 def gather(held: bytes | bytearray, data: bytes) -> bytes | bytearray:
     """Add a piece of a body. The first is kept as it came; more go into one buffer, in linear time."""
     if not held:
@@ -756,18 +766,22 @@
         exchange.opening = self.loop.create_task(self._connect(target, exchange, connection))
 
     async def _connect(self, target: Target, exchange: Exchange, connection: Connection) -> None:
-        sock = connection.sock
+        sock, began_s = connection.sock, self.monotonic()
         try:
             async with asyncio.timeout(self.connect_timeout):
                 await self.loop.sock_connect(sock, target.address)
-        except (OSError, asyncio.CancelledError):
-            target.opening.pop(exchange, None)
-            self.unneeded.pop(connection, None)
-            connection.close()
-            sock.close()
-            if exchange.connection is None:  # else it took one that came free meanwhile
-                exchange.end(Status.CONNECT_FAILED)
-            return
+        except (OSError, asyncio.CancelledError) as error:
+            # In a late loop the time is up before it is heard that the connection stands, or before the
+            # system was asked for it: that says nothing of the server.
+            late = self.monotonic() - began_s > self.connect_timeout + LATE_S
+            if not (late and isinstance(error, TimeoutError) and _stands(sock)):
+                target.opening.pop(exchange, None)
+                self.unneeded.pop(connection, None)
+                connection.close()
+                sock.close()
+                if exchange.connection is None:  # else it took one that came free meanwhile
+                    exchange.end(Status.MOOT if late else Status.CONNECT_FAILED)
+                return
         # No cancelling from here on: the loop is taking the descriptor over, and it would be closed twice.
         exchange.opening = None
         self.unneeded.pop(connection, None)
--- a/dykefold/sim/net.py
+++ b/dykefold/sim/net.py
@@ -109,6 +109,8 @@
         return self.local
 
     def getpeername(self) -> Address:
+        if self.connecting is not None:
+            raise OSError(errno.ENOTCONN, "not connected")
         return self.remote
 
     def setsockopt(self, level: int, option: int, value: Any) -> None:
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -501,6 +501,59 @@
         assert not strikes
 
 
+@on_loop
+async def test_a_connection_that_came_up_while_the_loop_stood_still_is_used(tmp_path, monkeypatch):
+    """Its time is up before it is heard of: a server was held to be out of reach that is not."""
+    sock, fill = full_listener()
+    data = config(news(1, entry("s1", f"{HOST}:{sock.getsockname()[1]}")))
+    data["settings"]["ceilings"]["connect-timeout-ns"] = 800 * MS
+    taken, strikes, loop = [], [], asyncio.get_running_loop()
+
+    def make_room_and_wait_for_the_connection():
+        for filler in fill:
+            filler.close()
+        sock.settimeout(WAIT)
+        while not any(one.getpeername()[1] == port for one in taken):
+            taken.append(sock.accept()[0])
+
+    async with Sidecar(tmp_path / "c", data) as sidecar:
+        pool = sidecar.engine.pool
+        monkeypatch.setattr(pool.balancer, "_strike", lambda *args: strikes.append(args))
+        asked = asyncio.create_task(ask(sidecar.port, message("order", "ab", "4000m")))
+        await until(lambda: any(one.sock.getsockname()[1] for one in pool.upstreams.connections))
+        ((connection, _),) = pool.upstreams.connections.items()
+        port = connection.sock.getsockname()[1]
+        # Its system asks for the connection again after a second; the rest is until its time is up for sure.
+        stand_still(loop, STILL, make_room_and_wait_for_the_connection)
+        await until(lambda: port in [one.getpeername()[1] for one in taken])
+        server = taken[-1]
+        server.setblocking(False)
+        assert (await loop.sock_recv(server, 4096)).startswith(b"POST /order")
+        server.send(reply(200, b"served"))
+        assert (await asked).code == 200 and not strikes
+        for one in taken:
+            one.close()
+    sock.close()
+
+
+@on_loop
+async def test_a_connect_that_a_late_loop_never_began_says_nothing_of_its_server(tmp_path, monkeypatch):
+    async with one_server(tmp_path, answer_ok) as (sidecar, fake):
+        pool, loop = sidecar.engine.pool, asyncio.get_running_loop()
+        begin, strikes, stood = pool.upstreams._open, [], []
+        monkeypatch.setattr(pool.balancer, "_strike", lambda *args: strikes.append(args))
+
+        def begin_and_stand_still(*args):
+            begin(*args)
+            if not stood:  # once, behind the first step of the connect
+                stood.append(loop.call_soon(time.sleep, pool.upstreams.connect_timeout + STILL))
+
+        monkeypatch.setattr(pool.upstreams, "_open", begin_and_stand_still)
+        assert (await ask(sidecar.port, message("order", "ab"))).code == 200
+        assert stood and not strikes
+    assert len(fake.got) == 1
+
+
 @on_loop
 async def test_an_answer_that_began_and_stops_is_not_waited_for_beyond_its_time(tmp_path):
     """The time that is given for reading is given once."""
