New settings at SIGHUP decide who calls discovery, and keep the own zone where it is

Seen by tests over real connections: settings that turned from asked to pushed lists while calls failed ended all calls (none in 20 s), since the module leaves them to the socket side then, and that went by the settings of the start (`Discovery.pushed`); the other way round it called four times a second beside the module. And settings that name the zones in another order sent 10 of 10 requests to the other zone: the module hears of servers by the numbers of the first settings (`Names`), and of its own zone by the new ones' order.

Now `Pool.retune` tells the discovery, which calls at once when it is the one to call, and `Engine.retune` gives the own zone the number that it has here; the failover hears the same numbers.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -73,8 +73,8 @@
         if self.fleet is not None:
             self.fleet.renumber(config.peers, config.settings.index)
         if self.failover is not None:
-            settings = config.settings
-            self.failover.retune(settings.zones, settings.zone, config.fleet.failover)
+            pool = engine.pool
+            self.failover.retune(list(pool.names.zones), pool.settings.zone, config.fleet.failover)
         if self.lists is not None and config.settings.must_ask:
             self.lists.retune(config.settings.must_ask_in_ns)
         if engine.pool.discovery is not None:
--- a/dykefold/net/discovery.py
+++ b/dykefold/net/discovery.py
@@ -298,6 +298,17 @@
             self.schedule.moved()
         self.watch(True)
 
+    def retune(self, pushed: bool) -> None:
+        """Go by other settings: who is to call after a failure, and how long calls wait.
+
+        Args:
+            pushed: discovery is an agent on the own machine, which nobody but this calls again.
+        """
+        if pushed != self.pushed:
+            self.pushed = pushed
+            if pushed:  # what is open waits as for a service, or the module was to call and does no more
+                self.ask_now()
+
     def _drop_left(self) -> None:
         left, self.left = self.left, None
         if left is not None:
--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -128,6 +128,7 @@
             ValueError: they can't be taken; nothing has changed then.
         """
         pool, now_ns = self.pool, self.now()
+        settings = pool.numbered(settings)
         waiting = [call.cls for front in self.clients.all.values() for call in front.calls()]
         taken = [held.call.cls for held in pool.held.values()]
         attempts = [attempt.held.call.cls for attempt in pool.attempts.values()]
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -418,6 +418,8 @@
         self.probe_path = b"/-/load" if settings.report_columns else b"/-/healthy"
         self.upstreams.retune(settings.connect_timeout_ns / SECOND or 1.0, transport.conn_idle_ns / SECOND)
         self.post(api.Retune(settings, retired))
+        if self.discovery is not None:
+            self.discovery.retune(pushed=not settings.must_ask)
 
     # Requests
 
@@ -790,6 +792,13 @@
         known = self.balancer.servers
         return {name: number for name, number in self.names.servers.items() if number in known}
 
+    def numbered(self, settings: Settings) -> Settings:
+        """Other settings, which may name zones in another order, with the own one by its number here."""
+        if not settings.zones:
+            return settings
+        numbers = [self.names.zone(name) for name in settings.zones]
+        return replace(settings, zone=numbers[settings.zone])
+
     def home_at(self, zone: int) -> None:
         """Have the module take this zone for its own, until another is named or other settings come."""
         self.post(api.Retune(replace(self.settings, zone=zone), self.retired))
--- a/tests/control/test_generations.py
+++ b/tests/control/test_generations.py
@@ -221,6 +221,24 @@
     run(play())
 
 
+def test_the_own_zone_stays_where_new_settings_name_zones_in_another_order(tmp_path):
+    async def play():
+        near, far = await Fake(answer_ok).start(), await Fake(answer_ok).start()
+        data = config(news(1, entry("s1", near.address, zone="a"), entry("s2", far.address, zone="b")))
+        data["settings"]["prices"] = {"cross-zone": 0.5}
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            for number in range(10):
+                assert (await ask(sidecar.port, message("lookup", f"one{number}"))).code == 200
+            data["settings"] |= {"dcs": ["b", "a", "c"], "my-zone": 1}
+            rewrite(tmp_path, data)
+            sidecar.reload()
+            for number in range(10):
+                assert (await ask(sidecar.port, message("lookup", f"two{number}"))).code == 200
+        assert (len(near.got), len(far.got)) == (20, 0)
+
+    run(play())
+
+
 @pytest.mark.parametrize(
     "spoil",
     [
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -13,7 +13,19 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from net_helpers import HOST, WAIT, Fake, entry, news, on_loop, reply, stand_still, until
+from net_helpers import (
+    HOST,
+    WAIT,
+    Fake,
+    Sidecar,
+    config,
+    entry,
+    news,
+    on_loop,
+    reply,
+    stand_still,
+    until,
+)
 
 from dykefold.interface import (
     Effect,
@@ -247,6 +259,32 @@
     moved.close()
 
 
+@pytest.mark.parametrize("modes", [("ask", "push"), ("push", "ask")], ids=["to pushed", "to asked"])
+@on_loop
+async def test_calls_go_on_by_the_settings_that_hold_when_one_fails(tmp_path, modes):
+    """SIGHUP changes whether lists are pushed, in the midst of failures."""
+
+    async def fail(message, reader, writer):
+        writer.write(reply(503, b""))
+
+    fake = await Fake(fail).start()
+    data = config(news(1, entry("s1", f"{HOST}:9")), fake.address)
+    data["settings"]["discovery"] = modes[0]
+    async with Sidecar(tmp_path / "c", data) as sidecar:
+        found = sidecar.engine.pool.discovery
+        await until(lambda: fake.got and not found.watching)  # a call has failed, the next one is awaited
+        data["settings"]["discovery"] = modes[1]
+        (tmp_path / "c").write_text(json.dumps(data))
+        sidecar.reload()
+        before = len(fake.got)
+        await until(lambda: len(fake.got) >= before + 3)
+        began, before = time.monotonic(), len(fake.got)
+        await until(lambda: len(fake.got) >= before + 4)
+        gap_s = (time.monotonic() - began) / 4
+        assert found.pushed is (modes[1] == "push")
+        assert gap_s < 1.0 if found.pushed else gap_s > discovery.AGAIN_PUSHED
+
+
 @on_loop
 async def test_a_move_back_and_forth_leaves_one_discovery_and_one_to_leave():
     async def act(message, reader, writer):
