New settings that differ only in what sockets need are taken at SIGHUP

Seen: with `conn-idle-ns` changed from 60 s to 1 s and nothing else, connections to servers stayed for 42 s as before (`idle_most` 42.0 before and after the reload), well past the time after which a server may close them.

Cause: `Engine.retune` returned where the generation of classes and the module's settings were equal; idle time and the limit on open requests are in `Transport`, which is no part of that. Now these are taken in any case. Over real connections the idle one goes in time, and the next request has a new one; red before.

--- a/dykefold/net/engine.py
+++ b/dykefold/net/engine.py
@@ -134,6 +134,7 @@
         attempts = [attempt.held.call.cls for attempt in pool.attempts.values()]
         generation = self.generation.next(settings, {*waiting, *taken, *attempts}, now_ns)
         if generation == self.generation:
+            pool.retune_sockets(transport)
             return
         log.info("classes are now %s", ", ".join(generation.numbers()))
         self.generation = generation
--- a/dykefold/net/pool.py
+++ b/dykefold/net/pool.py
@@ -413,14 +413,19 @@
             retired: numbers that no new request is of.
         """
         self.settings, self.retired = settings, retired
-        self.max_open = transport.max_open
         self.reports = Reports(settings.report_columns)
         self.probe_path = b"/-/load" if settings.report_columns else b"/-/healthy"
-        self.upstreams.retune(settings.connect_timeout_ns / SECOND or 1.0, transport.conn_idle_ns / SECOND)
+        self.retune_sockets(transport)
         self.post(api.Retune(settings, retired))
         if self.discovery is not None:
             self.discovery.retune(pushed=not settings.must_ask)
 
+    def retune_sockets(self, transport: Transport) -> None:
+        """Go by other limits and times that only the sockets need."""
+        self.max_open = transport.max_open
+        connect_s = self.settings.connect_timeout_ns / SECOND or 1.0
+        self.upstreams.retune(connect_s, transport.conn_idle_ns / SECOND)
+
     # Requests
 
     def take(self, asker: Asker, call: Call) -> None:
--- a/tests/control/test_generations.py
+++ b/tests/control/test_generations.py
@@ -221,6 +221,25 @@
     run(play())
 
 
+def test_a_shorter_idle_time_of_servers_holds_where_nothing_else_has_changed(tmp_path):
+    """Guards requests against a connection that its server may close by now."""
+
+    async def play():
+        fake = await Fake(answer_ok).start()
+        data = config(news(1, entry("s1", fake.address)))
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            assert (await ask(sidecar.port, message("order", "one"))).code == 200
+            data["settings"]["ceilings"]["conn-idle-ns"] //= 60  # one second
+            rewrite(tmp_path, data)
+            sidecar.reload()
+            assert fake.ended == 0
+            await until(lambda: fake.ended == 1, "the idle connection goes in time")
+            assert (await ask(sidecar.port, message("order", "two"))).code == 200
+        assert [got.connection for got in fake.got] == [1, 2]
+
+    run(play())
+
+
 def test_the_own_zone_stays_where_new_settings_name_zones_in_another_order(tmp_path):
     async def play():
         near, far = await Fake(answer_ok).start(), await Fake(answer_ok).start()
