--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -51,6 +51,17 @@
     return not sidecar.engine.clients.all and not sidecar.engine.pool.held
 
 
+async def turn_away(message, reader, writer):
+    writer.write(reply(503, b"", "X-Not-Run: 1"))
+
+
+def noted_strikes(pool, monkeypatch):
+    """What the module strikes servers with from here on, which it then does not."""
+    weights = []
+    monkeypatch.setattr(pool.balancer, "_strike", lambda server, weight, share: weights.append(weight))
+    return weights
+
+
 def settings(data, **limits):
     data["settings"]["ceilings"].update(limits)
     return data
@@ -120,9 +131,6 @@
 async def test_a_client_that_leaves_while_the_loop_stands_still_gets_no_repeat(tmp_path, monkeypatch):
     """The repeat's timer fires before the client's end is read."""
 
-    async def turn_away(message, reader, writer):
-        writer.write(reply(503, b"", "X-Not-Run: 1"))
-
     async with one_server(tmp_path, turn_away) as (sidecar, fake):
         pool = sidecar.engine.pool
         end_attempt, ends = pool.end_attempt, []
@@ -145,9 +153,6 @@
 async def test_a_deadline_that_passes_in_the_pause_before_a_repeat_ends_the_request(tmp_path, monkeypatch):
     """A late loop finds the repeat's timer and the deadline due in one turn: nothing more goes out."""
 
-    async def turn_away(message, reader, writer):
-        writer.write(reply(503, b"", "X-Not-Run: 1"))
-
     async with one_server(tmp_path, turn_away) as (sidecar, fake):
         pool = sidecar.engine.pool
         plan_repeat, planned = pool.balancer._plan_repeat, []
@@ -492,8 +497,7 @@
 ):
     """The module's timer for an overdue attempt fires before the answer is read."""
     async with asked_of_a_raw_server(tmp_path, message("lookup", "ab")) as (pool, asked, server):
-        strikes = []
-        monkeypatch.setattr(pool.balancer, "_strike", lambda *args: strikes.append(args))
+        strikes = noted_strikes(pool, monkeypatch)
         (due_ns,) = [due for due, kind, *_ in pool.balancer.timers if kind == OVERDUE]
         still_s = (due_ns - pool.now()) / 1e9 + STILL
         stand_still(asyncio.get_running_loop(), still_s, lambda: server.send(reply(200, b"served")))
@@ -507,7 +511,7 @@
     sock, fill = full_listener()
     data = config(news(1, entry("s1", f"{HOST}:{sock.getsockname()[1]}")))
     data["settings"]["ceilings"]["connect-timeout-ns"] = 800 * MS
-    taken, strikes, loop = [], [], asyncio.get_running_loop()
+    taken, loop = [], asyncio.get_running_loop()
 
     def make_room_and_wait_for_the_connection():
         for filler in fill:
@@ -518,7 +522,7 @@
 
     async with Sidecar(tmp_path / "c", data) as sidecar:
         pool = sidecar.engine.pool
-        monkeypatch.setattr(pool.balancer, "_strike", lambda *args: strikes.append(args))
+        strikes = noted_strikes(pool, monkeypatch)
         asked = asyncio.create_task(ask(sidecar.port, message("order", "ab", "4000m")))
         await until(lambda: any(one.sock.getsockname()[1] for one in pool.upstreams.connections))
         ((connection, _),) = pool.upstreams.connections.items()
@@ -532,7 +536,7 @@
         server.send(reply(200, b"served"))
         assert (await asked).code == 200
         # That it is overdue by a second may be noted; that it was out of reach may not.
-        assert not [weight for _, weight, _ in strikes if weight >= 1.0]
+        assert not [weight for weight in strikes if weight >= 1.0]
         for one in taken:
             one.close()
     sock.close()
@@ -542,8 +546,8 @@
 async def test_a_connect_that_a_late_loop_never_began_says_nothing_of_its_server(tmp_path, monkeypatch):
     async with one_server(tmp_path, answer_ok) as (sidecar, fake):
         pool, loop = sidecar.engine.pool, asyncio.get_running_loop()
-        begin, strikes, stood = pool.upstreams._open, [], []
-        monkeypatch.setattr(pool.balancer, "_strike", lambda *args: strikes.append(args))
+        begin, stood = pool.upstreams._open, []
+        strikes = noted_strikes(pool, monkeypatch)
 
         def begin_and_stand_still(*args):
             begin(*args)
