Review: the build leaves nothing behind, and new servers are listed with their start

Need: the build left bytecode folders beside the cases, and discovery's stand-in listed servers that had just started as started long ago. Change: build.sh compiles into a temporary folder that it removes; since_ms in case 1; record.txt has one name.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 
 from rig import (
     Client,
@@ -69,7 +70,7 @@
     """Replace servers in steps: a new one serves, the old one drains and is gone a step later."""
     step_s = RELEASE_S / (3 * REPLACED)
     for leaving, coming in zip(old, new, strict=True):
-        listed.put(coming.entry())
+        listed.put({**coming.entry(), "since_ms": int(time.time() * 1000)})
         await asyncio.sleep(step_s)
         listed.set_status(leaving.name, "DRAINING")
         await asyncio.sleep(step_s)
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,4 +1,8 @@
 #!/bin/sh
-# Compiles the stand-ins of the cases. It needs nothing beyond the build of the deploy file.
+# Compiles the stand-ins of the cases, and leaves nothing behind. It needs only the build of the deploy file.
 cd "$(dirname "$0")" || exit 2
-exec ../.venv/bin/python -m compileall -q .
+cache=$(mktemp -d) || exit 2
+PYTHONPYCACHEPREFIX="$cache" ../.venv/bin/python -m compileall -q .
+code=$?
+rm -rf "$cache"
+exit $code
--- a/review/rig.py
+++ b/review/rig.py
@@ -639,7 +639,7 @@
 
 def play(case: Callable[[Record], Awaitable[Verdict]], folder: Path, limit_s: float = 118.0) -> int:
     """Play a case, write its record, and return its exit code."""
-    record = Record(folder / os.environ.get("RECORD", "record.txt"))
+    record = Record(folder / "record.txt")
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the sidecar is ended, too
     verdict = None
     try:
