--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,126 +1,134 @@
-"""Answers over 64 KiB without a length that servers write slowly, in pieces."""
+"""A server is out for maintenance when a new configuration changes a deadline of its service."""
 
 from __future__ import annotations
 
 import asyncio
+import shlex
+import signal
 import sys
+import tempfile
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import rig2  # noqa: E402
-from rig2 import Discovery, Record, Request, Server, Sidecar  # noqa: E402
-
-# As in sapporo-billing.
-SHARE = rig2.request_class("share-transfer", 1500, 750, "token")
-DEADLINE_MS = 1500
-FIRST_BYTES_S = 0.6  # within the class's aim of 0.75 s
-# The rate that the page sets for slow bodies: 64 kB a second.
-BYTES_PER_S = 64_000
-PAUSE_S = 0.05
-PIECE_BYTES = int(BYTES_PER_S * PAUSE_S)
-PIECES = 62  # 198 kB, so well over 64 KiB
-REQUESTS = 6
-TIMEOUT_S = 15.0
-
-
-class SlowAnswers:
-    """Servers that answer each request with one long chunked answer, and what became of it.
-
-    Args:
-        record: Record of the case.
-
-    Attributes:
-        cut_off: Ids of the requests whose answer the sidecar cut off.
-    """
-
-    def __init__(self, record: Record) -> None:
-        self.record = record
-        self.cut_off: list[str] = []
-
-    async def serve(self, request: Request) -> None:
-        """Write the answer piece by piece."""
-        transport = request.connection.transport
-        await asyncio.sleep(FIRST_BYTES_S)
-        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        rest = body_of(request.id)
-        self.record.write(f"first bytes of the answer to {request.id}")
-        while rest:
-            if request.connection.closed:
-                given = PIECES * PIECE_BYTES - len(rest)
-                self.record.write(f"the sidecar cuts off the answer to {request.id} after {given} bytes")
-                self.cut_off.append(request.id)
-                return
-            piece, rest = rest[:PIECE_BYTES], rest[PIECE_BYTES:]
-            transport.write(head + b"%x\r\n%s\r\n" % (len(piece), piece))
-            head = b""
-            if rig2.TROUBLE:
-                await asyncio.sleep(PAUSE_S)
-        transport.write(b"0\r\n\r\n")
-        self.record.write(f"last byte of the answer to {request.id}")
-
-
-def body_of(request_id: str) -> bytes:
-    """Return the body of the answer to a request."""
-    text = f"{request_id} ".encode()
-    return (text * (PIECES * PIECE_BYTES // len(text) + 1))[: PIECES * PIECE_BYTES]
-
-
-async def ask(record: Record, port: int) -> bool:
-    """Send one request; return whether it got the whole answer of its server."""
+from rig2 import Client, Record, Server, Sidecar  # noqa: E402
+
+CLIENTS = 4
+# A send within the grace of a drain is no break, nor one within 1 s after the call.
+GRACE_S = 1.0
+WATCHED_S = 4.0
+ANSWER_TIMEOUT_S = 5.0
+DEADLINES_MS = (3000, 2500)  # before and after the new configuration
+
+FILE = """
+[node]
+name = "parts"
+listen = "127.0.0.1:{port}"
+descriptors = 1024
+memory_mb = 192
+
+[control]
+listen = "127.0.0.1:{control}"
+folder = "{folder}"
+
+[pools.catalogue]
+servers = [{servers}]
+aim_ms = 1000
+deadline_ms = {deadline_ms}
+
+[[routes]]
+name = "catalogue"
+pool = "catalogue"
+prefix = "/catalogue"
+"""
+
+
+def write_file(path: Path, sidecar: Sidecar, servers: list[Server], deadline_ms: int) -> None:
+    """Write the operator's file, replacing it in one step."""
+    listed = ", ".join(f'"{name_of(server)}"' for server in servers)
+    text = FILE.format(
+        port=sidecar.port,
+        control=sidecar.control,
+        folder=sidecar.folder,
+        servers=listed,
+        deadline_ms=deadline_ms,
+    )
+    temporary = path.with_suffix(".new")
+    temporary.write_text(text, encoding="utf-8")
+    temporary.replace(path)
+
+
+def name_of(server: Server) -> str:
+    """Return the name of a server that an operator's file lists: its address."""
+    return f"127.0.0.1:{server.port}"
+
+
+async def call(record: Record, port: int, target: str) -> int:
+    """Make a call at the operators' door, and return the status of its answer."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    request_id = rig2.new_id()
-    writer.write(rig2.encode(SHARE, request_id, DEADLINE_MS))
-    record.write(f"client sends {request_id}")
-    code, body = b"none", b""
-    try:
-        async with asyncio.timeout(TIMEOUT_S):
-            head = (await reader.readuntil(b"\r\n\r\n")).lower()
-            code = head.split()[1]
-            body = await read_body(reader, head)
-    except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError) as error:
-        record.write(f"client: {request_id}: {type(error).__name__}")
-    whole = code == b"200" and body == body_of(request_id)
-    record.write(f"client: {request_id}: {code.decode()}, {len(body)} bytes, whole: {whole}")
+    writer.write(f"POST {target} HTTP/1.1\r\nHost: door\r\nContent-Length: 0\r\n\r\n".encode())
+    answer = await asyncio.wait_for(reader.read(), ANSWER_TIMEOUT_S)
     writer.close()
-    return whole
-
-
-async def read_body(reader: asyncio.StreamReader, head: bytes) -> bytes:
-    """Return the body behind a head, in either framing."""
-    if b"transfer-encoding: chunked" not in head:
-        return await reader.readexactly(int(head.partition(b"content-length:")[2].split()[0]))
-    body = b""
-    while size := int(await reader.readuntil(b"\r\n"), 16):
-        body += await reader.readexactly(size)
-        await reader.readexactly(2)
-    return body
+    code = int(answer.split(b" ", 2)[1])
+    record.write(f"operator: POST {target}: {code}")
+    return code
+
+
+async def read_all_the_time(record: Record, port: int, number: int) -> None:
+    """Send one request after another, until the case ends."""
+    while True:
+        client = Client(record, port)
+        await client.connect()
+        keep = True
+        while keep:
+            request_id = rig2.new_id()
+            payload = f"GET /catalogue/part HTTP/1.1\r\nHost: desk\r\nX-Request-Id: {request_id}\r\n\r\n"
+            answer = await client.ask(payload.encode(), request_id, ANSWER_TIMEOUT_S)
+            record.write(f"client {number}: {request_id}: {answer.code} {answer.problem}")
+            keep = answer.keep and not answer.problem
+            await asyncio.sleep(0.05)
+        client.close()
 
 
 async def main(record: Record) -> bool:
     """Play the case; return whether the rule held."""
-    answers = SlowAnswers(record)
-    servers = [Server(record, f"s{number}", answers.serve) for number in range(4)]
+    servers = [Server(record, f"server {number}", rig2.answer_at_once) for number in range(3)]
     for server in servers:
         await server.up()
-    discovery = Discovery(record, [server.entry() for server in servers])
-    await discovery.up()
-    sidecar = Sidecar(record, rig2.configuration(discovery, [SHARE]))
-    whole = 0
+    out = servers[0]
+    folder = tempfile.mkdtemp()
+    path = Path(folder) / "services.toml"
+    listen = {"name": "parts", "listen": f"127.0.0.1:{rig2.free_port()}", "discovery": "127.0.0.1:9"}
+    sidecar = Sidecar(record, listen, rig2.free_port(), folder, arguments=f"serve {shlex.quote(str(path))}")
+    write_file(path, sidecar, servers, DEADLINES_MS[0])
     try:
         await sidecar.start()
-        for _ in range(REQUESTS):
-            whole += await ask(record, sidecar.port)
+        clients = [
+            asyncio.create_task(read_all_the_time(record, sidecar.port, number)) for number in range(CLIENTS)
+        ]
+        await asyncio.sleep(1.5)
+        used_before = len(out.requests)
+        code = await call(record, sidecar.control, f"/servers/{name_of(out)}/maint")
+        if code != rig2.OK or not used_before:
+            problem = "the server was not in use, or could not be taken out"
+            raise rig2.CouldNotRunError(problem)
+        banned_from_s = record.now_s() + GRACE_S
+        await asyncio.sleep(2.0)
+        if rig2.TROUBLE:  # a new configuration, with another deadline
+            write_file(path, sidecar, servers, DEADLINES_MS[1])
+            sidecar.signal(signal.SIGHUP)
+        await asyncio.sleep(WATCHED_S)
+        sent = [request for request in out.requests if request.complete_s > banned_from_s]
+        for client in clients:
+            client.cancel()
+        await asyncio.gather(*clients, return_exceptions=True)
     finally:
         sidecar.close()
-    forwarded = sum(len(server.requests) for server in servers)
-    if not forwarded:
-        problem = "nothing was forwarded"
-        raise rig2.CouldNotRunError(problem)
-    cut_off = len(answers.cut_off)
-    record.write(f"{REQUESTS} requests, {forwarded} forwarded, {whole} whole answers, {cut_off} cut off")
-    return not answers.cut_off
+    total = sum(len(server.requests) for server in servers)
+    record.write(f"{total} requests; {len(sent)} reached the server that was out for maintenance")
+    return not sent
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,9 @@
-"""Hundreds of bad clients stop in the middle of a head that does not end."""
+"""A planned restart after a new configuration that drops the class with the longest deadline."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -10,116 +11,118 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 import rig2  # noqa: E402
-from rig2 import Answer, Client, Discovery, Record, Server, Sidecar  # noqa: E402
-
-MEMORY_MB = 192  # the largest limit of the days that are scored
-SOCKETS = 1024
-BAD_CLIENTS = 400
-HEAD_BYTES = 32_000  # the sidecar itself rejects heads over 32 KiB
-USUAL_CLIENTS = 4
-OWED_S = 3.0  # within this time of connecting a bad client is owed an error or a close
-ANSWER_TIMEOUT_S = 5.0
-
-
-def endless_head() -> bytes:
-    """Return the first bytes of a head of many short lines, without its end."""
-    head = b"GET /lookup/part HTTP/1.1\r\nHost: origin.svc\r\n"
-    number = 0
-    while len(head) < HEAD_BYTES:
-        head += b"X-%x: 1\r\n" % number
-        number += 1
-    return head
-
-
-async def stop_half_way(record: Record, port: int, number: int) -> None:
-    """Send the beginning of a head at full speed, and stay until the sidecar answers or closes."""
-    try:
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(endless_head())
-        await writer.drain()
-        answer = await asyncio.wait_for(reader.read(64), 2 * OWED_S)
-        record.write(f"bad client {number}: {answer[:12]!r}")
-        writer.close()
-    except (OSError, TimeoutError) as error:
-        record.write(f"bad client {number}: {type(error).__name__}")
-
-
-async def ask_all_the_time(record: Record, port: int, answers: list[Answer]) -> None:
-    """Send one lookup after another, until the case ends."""
-    while True:
-        client = Client(record, port)
+from rig2 import Answer, Client, Discovery, Record, Request, Server, Sidecar  # noqa: E402
+
+# As in sapporo-billing: deadlines of 6 s, 2.5 s and 1.5 s.
+READ = rig2.request_class("credit-lookup", 6000, 1200, "pure")
+POST = rig2.request_class("credit-post", 2500, 800, "token")
+SHARE = rig2.request_class("share-transfer", 1500, 750, "token")
+LONGEST_S = 2.5  # of the classes that stay
+# The page: SIGKILL comes no sooner than the longest deadline (3 s at most) and 0.7 s more after SIGTERM.
+KILL_AFTER_S = LONGEST_S + 0.7
+# The page: what SIGKILL finds unanswered is lost if it came more than 0.7 s after SIGTERM.
+COUNTED_AFTER_S = 0.7
+CLIENTS = 12
+WORK_S = 0.3
+HANGING = ("s0", "s1")  # half of the servers hang while the sidecar ends
+HANG_AFTER_S = 1.6
+AFTER_HUP_S = 8.0  # requests of the dropped class would be over: 1.2 s until clients change, and 6 s
+ANSWER_TIMEOUT_S = 8.0
+
+
+class Platform:
+    """What the clients share.
+
+    Args:
+        record: Record of the case.
+        port: Port of the sidecar.
+    """
+
+    def __init__(self, record: Record, port: int) -> None:
+        self.record = record
+        self.port = port
+        self.answers: list[Answer] = []
+        self.stopping = False
+
+    async def send_all_the_time(self, number: int) -> None:
+        """Send one request after another, on one connection for as long as it stays open."""
+        client = Client(self.record, self.port)
+        spec = POST if number % 3 else SHARE
+        deadline_ms = spec["deadline-ns"] // rig2.MS
         try:
-            await client.connect()
+            while True:
+                await client.connect()
+                while True:
+                    request_id = rig2.new_id()
+                    payload = rig2.encode(spec, request_id, deadline_ms)
+                    answer = await client.ask(payload, request_id, ANSWER_TIMEOUT_S)
+                    self.answers.append(answer)
+                    text = answer.problem or str(answer.code)
+                    self.record.write(f"client {number}: {request_id} of {answer.sent_s:.3f}: {text}")
+                    if answer.problem or not answer.keep:
+                        break
+                    await asyncio.sleep(0.02)
+                client.close()
+                await asyncio.sleep(0.02)
         except OSError:
-            record.write("client: connection refused")
-            await asyncio.sleep(0.2)
-            continue
-        keep = True
-        while keep:
-            request_id = rig2.new_id()
-            payload = rig2.encode(rig2.LOOKUP, request_id, 3000)
-            answer = await client.ask(payload, request_id, ANSWER_TIMEOUT_S)
-            answers.append(answer)
-            record.write(f"client: {request_id}: {answer.code} {answer.problem}")
-            keep = answer.keep and not answer.problem
-            await asyncio.sleep(0.05)
-        client.close()
-
-
-async def watch_memory(record: Record, sidecar: Sidecar) -> float:
-    """Kill the sidecar when its memory is over the limit, as the platform does; return the peak in MB."""
-    peak_mb = 0.0
-    try:
-        while True:
-            rss_mb = sidecar.rss_mb()
-            if rss_mb > peak_mb:
-                peak_mb = rss_mb
-                record.write(f"memory of the sidecar: {rss_mb:.1f} MB")
-            if rss_mb > MEMORY_MB and sidecar.process is not None:
-                record.write(f"the platform kills the sidecar: it is over {MEMORY_MB} MB")
-                sidecar.process.kill()
-                return peak_mb
-            await asyncio.sleep(0.02)
-    except asyncio.CancelledError:
-        return peak_mb
+            self.record.write(f"client {number}: new connections are refused")
+            client.close()
 
 
 async def main(record: Record) -> bool:
     """Play the case; return whether the rule held."""
-    servers = [Server(record, f"s{number}", rig2.answer_at_once) for number in range(3)]
+    hung = asyncio.Event()
+
+    async def serve(request: Request) -> None:
+        if not hung.is_set() or request.connection.server.name not in HANGING:
+            await asyncio.sleep(WORK_S)
+            request.connection.answer(rig2.OK, request.id.encode())
+
+    servers = [Server(record, f"s{number}", serve) for number in range(4)]
     for server in servers:
         await server.up()
     discovery = Discovery(record, [server.entry() for server in servers])
     await discovery.up()
-    classes = [rig2.LOOKUP, rig2.HOLD, rig2.ORDER]
-    sidecar = Sidecar(record, rig2.configuration(discovery, classes, SOCKETS, MEMORY_MB))
-    answers: list[Answer] = []
+    sidecar = Sidecar(record, rig2.configuration(discovery, [READ, POST, SHARE]))
     try:
+        if not rig2.TROUBLE:
+            sidecar.config["settings"] = rig2.settings([POST, SHARE])
         await sidecar.start()
-        usual = [
-            asyncio.create_task(ask_all_the_time(record, sidecar.port, answers)) for _ in range(USUAL_CLIENTS)
-        ]
-        watch = asyncio.create_task(watch_memory(record, sidecar))
-        await asyncio.sleep(2.0)
-        if not any(answer.code == rig2.OK for answer in answers):
-            problem = "nothing was served before the bad clients came"
+        platform = Platform(record, sidecar.port)
+        tasks = [asyncio.create_task(platform.send_all_the_time(number)) for number in range(CLIENTS)]
+        await asyncio.sleep(1.5)
+        if rig2.TROUBLE:  # the new configuration drops the class with the longest deadline
+            sidecar.config["settings"] = rig2.settings([POST, SHARE])
+            sidecar.write_config()
+            sidecar.signal(signal.SIGHUP)
+        await asyncio.sleep(AFTER_HUP_S)
+        served = sum(answer.code == rig2.OK for answer in platform.answers)
+        if served < CLIENTS:
+            problem = f"only {served} requests were served before the restart"
             raise rig2.CouldNotRunError(problem)
-        if rig2.TROUBLE:
-            bad = [stop_half_way(record, sidecar.port, number) for number in range(BAD_CLIENTS)]
-            await asyncio.gather(*bad)
-        await asyncio.sleep(2.0)
-        assert sidecar.process is not None
-        crashed = sidecar.process.poll() is not None
-        watch.cancel()
-        peak_mb = await watch
-        for client in usual:
-            client.cancel()
-        await asyncio.gather(*usual, return_exceptions=True)
+        term_s = record.now_s()
+        sidecar.signal(signal.SIGTERM)
+        asyncio.get_running_loop().call_later(HANG_AFTER_S, hung.set)
+        await asyncio.sleep(term_s + KILL_AFTER_S - record.now_s())
+        sidecar.signal(signal.SIGKILL)
+        await asyncio.gather(*tasks)
     finally:
         sidecar.close()
-    lost = sum(bool(answer.problem) for answer in answers)
-    record.write(f"peak {peak_mb:.1f} MB of {MEMORY_MB}; {len(answers)} requests, {lost} without an answer")
-    return not crashed
+    lost = [
+        answer
+        for answer in platform.answers
+        if answer.problem and answer.sent_s > term_s + COUNTED_AFTER_S and _was_taken(servers, answer.id)
+    ]
+    for answer in lost:
+        after_s = answer.sent_s - term_s
+        record.write(f"lost: {answer.id}, sent {after_s:.3f} s after SIGTERM: {answer.problem}")
+    record.write(f"{len(platform.answers)} requests, {served} served before the restart, {len(lost)} lost")
+    return not lost
+
+
+def _was_taken(servers: list[Server], request_id: str) -> bool:
+    """Return whether the sidecar has forwarded a request, and so has taken it."""
+    return any(request.id == request_id for server in servers for request in server.requests)
 
 
 if __name__ == "__main__":
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -402,6 +403,8 @@
             self.record.write(f"{self.name} ended with {self.process.returncode}")
             for line in self.log.read_text(encoding="utf-8").splitlines():
                 self.record.write(f"log of {self.name}: {line}")
+            for folder in (self.path.parent, Path(self.folder)):
+                shutil.rmtree(folder, ignore_errors=True)
 
 
 def configuration(
