--- a/review/10/case.py
+++ b/review/10/case.py
@@ -16,8 +16,8 @@
 from rig2 import Client, Record, Server, Sidecar  # noqa: E402
 
 CLIENTS = 4
-# A send within the grace of a drain is no break, nor one within 1 s after the call.
-GRACE_S = 1.0
+# DAYS: the server counts as draining 1 s after the call at the latest. BRIEF: a drain has 500 ms of grace.
+GRACE_S = 1.0 + 0.5 + rig2.SLACK_S
 WATCHED_S = 4.0
 ANSWER_TIMEOUT_S = 5.0
 DEADLINES_MS = (3000, 2500)  # before and after the new configuration
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -100,8 +100,8 @@
         if served < CLIENTS:
             problem = f"only {served} requests were served before the restart"
             raise rig2.CouldNotRunError(problem)
-        term_s = record.now_s()
         sidecar.signal(signal.SIGTERM)
+        term_s = record.now_s()
         asyncio.get_running_loop().call_later(HANG_AFTER_S, hung.set)
         await asyncio.sleep(term_s + KILL_AFTER_S - record.now_s())
         sidecar.signal(signal.SIGKILL)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -14,7 +14,7 @@
 
 MEMORY_MB = 192  # the largest limit of the days that are scored
 SOCKETS = 1024
-BAD_CLIENTS = 400
+BAD_CLIENTS = 330  # with the usual ones no more than a third of the descriptors
 HEAD_BYTES = 32_000  # the sidecar itself rejects heads over 32 KiB
 USUAL_CLIENTS = 4
 OWED_S = 3.0  # within this time of connecting a bad client is owed an error or a close
@@ -26,7 +26,7 @@
     head = b"GET /lookup/part HTTP/1.1\r\nHost: origin.svc\r\n"
     number = 0
     while len(head) < HEAD_BYTES:
-        head += b"X-%x: 1\r\n" % number
+        head += b"%x: 1\r\n" % number
         number += 1
     return head
 
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -29,6 +29,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 MS = 1_000_000
 OK = 200
+# PROTOCOL: each time limit is 50 ms longer. STANDING: a sidecar may be held up for 0.15 s between reading its
+# clock and writing, and windows allow for that.
+SLACK_S = 0.05 + 0.15
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -522,8 +525,8 @@
     record.write(f"trouble: {TROUBLE}")
     try:
         held = asyncio.run(case(record))
-    except (CouldNotRunError, OSError) as error:
-        record.write(f"could not run: {error}")
+    except Exception as error:  # a fault of the script says nothing about the rule
+        record.write(f"could not run: {type(error).__name__}: {error}")
         sys.exit(COULD_NOT_RUN)
     record.write("the rule held" if held else "the rule was broken")
     sys.exit(HELD if held else BROKEN)
