Shutdown: classes that were dropped no longer delay the last answers

Cause: the times of a graceful shutdown came from all class numbers, and a retired class keeps its number until another class needs it. The last answers were due 0.1 s after the kill.

Change: a pool states the longest deadline of its live classes. Pools that a reload has replaced (`serve`) no longer count either; they had the same effect until their last request ended.

--- a/dykefold/net/service/pool.py
+++ b/dykefold/net/service/pool.py
@@ -292,6 +292,10 @@
         """Set the zone that the balancer treats as its own, until the next call or change of settings."""
         self.post(SettingsChanged(replace(self.settings, zone=zone), self.retired))
 
+    def longest_deadline_ns(self) -> int:
+        """Return the longest deadline of the classes that are not retired, in nanoseconds."""
+        return max(stats.spec.deadline_ns for stats in self.balancer.live_classes)
+
     def class_numbers(self) -> dict[str, int]:
         """Return the numbers of the balancer's request classes, by name."""
         balancer = self.balancer
--- a/dykefold/net/shutdown.py
+++ b/dykefold/net/shutdown.py
@@ -57,7 +57,7 @@
     All steps are due before the platform may kill the process, since requests pending at the kill are lost.
 
     Args:
-        longest_s: Longest deadline of a request class, in seconds.
+        longest_s: Longest deadline of a request class in the configuration, in seconds.
 
     Returns:
         Times of the steps, in seconds after the shutdown begins.
@@ -121,15 +121,19 @@
         pending = sum(len(pool.pending) for pool in server.pools)
         log.info("sidecar began graceful shutdown: pending_requests=%d", pending)
         self.loop.call_later(ACCEPT_AFTER_TERM_S, self.stop_accepting)
-        longest_ns = max(
-            (spec.deadline_ns for pool in server.pools for spec in pool.settings.classes), default=0
-        )
-        times = shutdown_times(longest_ns / NS_PER_S)
+        times = shutdown_times(self._longest_deadline_ns() / NS_PER_S)
         self.answer_at_s = server.monotonic() + times.answer_s
         self.loop.call_later(times.stop_requests_s, self.stop_requests)
         self.loop.call_later(times.answer_s, self.answer_all)
         self.loop.call_later(times.stop_s, self._stop)
 
+    def _longest_deadline_ns(self) -> int:
+        """Return the longest deadline in the configuration, by which the platform times the kill.
+
+        Retired classes and retiring pools are no longer in it, although requests may still belong to them.
+        """
+        return max((pool.longest_deadline_ns() for pool in self.server.pools if not pool.retiring), default=0)
+
     def stop_accepting(self) -> None:
         """Stop accepting connections; requests on existing connections are still accepted.
 
--- a/tests/net/test_class_generations.py
+++ b/tests/net/test_class_generations.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from net_helpers import (
+    HOST,
     MS,
     FakePeer,
     Sidecar,
@@ -16,6 +17,7 @@
     endpoint_entry,
     gated_handler,
     list_update,
+    never_respond,
     request_message,
     respond_ok,
     run,
@@ -265,6 +267,41 @@
     run(scenario())
 
 
+def test_dropped_class_with_longest_deadline_does_not_delay_shutdown(tmp_path):
+    """Guards against requests that are unanswered at the kill, whose time the dropped class postponed."""
+
+    async def scenario():
+        fake = await FakePeer(never_respond).start()
+        data = config(list_update(1, endpoint_entry("s1", fake.address)))
+        for spec_data in data["settings"]["classes"]:
+            spec_data["deadline-ns"] = 3000 * MS if spec_data["name"] == "hold" else 1000 * MS
+        kill_after_s = 1.7  # the longest deadline that is left, and 0.7 s
+        async with Sidecar(tmp_path / "c", data) as sidecar:
+            data["settings"]["classes"] = [
+                spec_data for spec_data in data["settings"]["classes"] if spec_data["name"] != "hold"
+            ]
+            write_config(tmp_path, data)
+            sidecar.reload()
+            loop = asyncio.get_running_loop()
+            connections = [await asyncio.open_connection(HOST, sidecar.port) for _ in range(12)]
+            started_s = loop.time()
+            sidecar.server.drain()
+
+            async def answered_after_s(number):
+                reader, writer = connections[number]
+                await asyncio.sleep(0.1 * number)  # requests keep coming, up to 1.1 s
+                writer.write(request_message("lookup", f"late{number}"))
+                await reader.read()  # the answer, or a close if the request came too late
+                writer.close()
+                return loop.time() - started_s
+
+            answered_s = await asyncio.gather(*map(answered_after_s, range(len(connections))))
+            assert fake.received
+            assert max(answered_s) < kill_after_s
+
+    run(scenario())
+
+
 def test_own_zone_is_kept_if_settings_reorder_zones(tmp_path):
     async def scenario():
         local, remote = await FakePeer(respond_ok).start(), await FakePeer(respond_ok).start()
--- a/tests/routing/services_rig.py
+++ b/tests/routing/services_rig.py
@@ -53,7 +53,8 @@
         return self
 
     async def __aexit__(self, *_):
-        self.server.listener.close()
+        if self.server.listener is not None:
+            self.server.listener.close()
         self.server.close()
 
 
--- a/tests/routing/test_services.py
+++ b/tests/routing/test_services.py
@@ -372,3 +372,21 @@
             await wait_until(lambda: not node.server.clients.open_connections)
 
     run(scenario())
+
+
+def test_retiring_pool_with_longest_deadline_does_not_delay_shutdown():
+    """Guards against requests that are unanswered at the kill, whose time the replaced pool postponed."""
+
+    async def scenario():
+        silent = await FakePeer(never_respond).start()
+        async with InProcessSidecar(pool_toml("parts", silent.port, deadline_ms=3000)) as sidecar:
+            kept = asyncio.create_task(send_request(sidecar.port, get_request("/parts/kept")))
+            await wait_until(lambda: silent.received)
+            sidecar.apply_config(pool_toml("parts", silent.port, deadline_ms=1000))
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            sidecar.server.drain()
+            assert (await kept).code >= 500
+            assert loop.time() - started_s < 1.7  # the deadline in the configuration, and 0.7 s
+
+    run(scenario())
