Memory: heads pay while they arrive, and trailers have a limit

Cause: memory was reserved and header lines were counted only at the end of a head. A trailer line was kept by the parser until its end, behind a streamed body without any bound.

Change: net/head_memory.py has the cost of a head by bytes and lines, for requests and for answers. A head beyond a small one reserves it after each slice; the 257th line is rejected at once. Incomplete heads may use half of the budget. At most 8 KiB may follow a piece of a body without another piece.

Stand-ins for a transport and an exchange moved from two test files to net_helpers.

--- a/dykefold/net/downstream/request_assembler.py
+++ b/dykefold/net/downstream/request_assembler.py
@@ -16,13 +16,19 @@
 import httptools
 
 from ...admission.client import Client
+from ..head_memory import (
+    MAX_HEADER_LINES,
+    SMALL_HEAD_BYTES,
+    SMALL_HEAD_LINES,
+    TrailerLimit,
+    head_memory_bytes,
+)
 from ..streaming import MAX_FRAMING_FACTOR, UPLOAD_HIGH_WATER_BYTES, Upload
 from ..upstream.http_fields import BLANKS, HOP_BY_HOP, gather
 from .protocols import InputControl, ItemReceiver, ServerContext
 from .request_parser import MAX_BUFFERED_BODY_BYTES, Message, ParsedRequest, RequestError
 
 MAX_HEADERS_BYTES = 32 * 1024
-MAX_HEADER_LINES = 256  # Each line takes some hundred bytes of memory in addition to its text.
 MAX_MESSAGE_BYTES = 8 * MAX_BUFFERED_BODY_BYTES  # The framing of small chunks is larger than their data.
 MAX_WAITING_REQUESTS = 16  # Reading pauses while this many pipelined requests wait.
 READY_TARGET = b"/-/ready"
@@ -83,6 +89,7 @@
         "_receiver",
         "_server",
         "_target",
+        "_trailers",
         "arrived_ns",
         "discarding_input",
         "in_body",
@@ -126,6 +133,7 @@
         self._header_lines: list[bytes] = []
         self._body: bytes | bytearray = b""
         self._body_bytes = 0
+        self._trailers: TrailerLimit | None = None  # created if the body does not come with its head
         self._message_reserved_bytes = 0
 
     @property
@@ -145,7 +153,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header by its name, and as the line that is forwarded."""
-        if self.in_body:  # Trailers are discarded.
+        if self.in_body or self.discarding_input:  # Trailers are discarded.
+            return
+        if len(self._header_lines) >= MAX_HEADER_LINES:
+            self.reject(431, "headers are too long")
             return
         lower_name = name.lower()
         # The parser does not accept `chunked` followed by a tab, so the tab must not be stripped here.
@@ -162,15 +173,20 @@
 
     def on_headers_complete(self) -> None:
         """Check the header limits, and begin an upload if the announced body is too large to buffer."""
+        if self.discarding_input:
+            return
         self.in_body = True
         self.max_message_bytes = MAX_MESSAGE_BYTES
         headers = self._headers
         size = sum(map(len, self._header_lines)) + len(self._target)
-        if size > MAX_HEADERS_BYTES or len(self._header_lines) > MAX_HEADER_LINES:
+        memory_bytes, line_count = size, len(self._header_lines)
+        if size > SMALL_HEAD_BYTES or line_count > SMALL_HEAD_LINES:
+            memory_bytes = max(size, head_memory_bytes(size, line_count))
+        if size > MAX_HEADERS_BYTES:
             self.reject(431, "headers are too long")
         elif b"transfer-encoding" in headers and headers[b"transfer-encoding"].lower() != b"chunked":
             self.reject(501, "Transfer-Encoding must be chunked")
-        elif self._reserve(size):
+        elif self._reserve(max(memory_bytes - self._message_reserved_bytes, 0)):
             expects = (
                 b"expect" in headers and headers[b"expect"].lower() == b"100-continue" and self._receiver.idle
             )
@@ -259,9 +275,37 @@
             )
         )
 
-    def _reserve(self, size: int) -> bool:
-        """Reserve memory for more of the message; reject the message if there is no capacity."""
-        if not self._memory.reserve(size):
+    def account_unfinished(self, size: int) -> None:
+        """Account for a parsed piece of input after which a message is incomplete.
+
+        Memory is reserved for a head as it arrives, and trailers are limited.
+
+        Args:
+            size: Number of bytes of the piece.
+        """
+        if self.discarding_input:
+            return
+        if self.message_begun and not self.in_body:
+            needed_bytes = head_memory_bytes(self.message_bytes, len(self._header_lines))
+            if needed_bytes > self._message_reserved_bytes:
+                self._reserve(needed_bytes - self._message_reserved_bytes, is_head=True)
+            return
+        if self._trailers is None:
+            self._trailers = TrailerLimit()
+        if self._trailers.exceeded_by(size, self._body_bytes):
+            self.reject(431, "trailers are too long")
+
+    def _reserve(self, size: int, is_head: bool = False) -> bool:
+        """Reserve memory for more of the message; reject the message if there is no capacity.
+
+        Args:
+            size: Number of bytes.
+            is_head: Whether they belong to a head that is incomplete.
+
+        Returns:
+            Whether the bytes are reserved.
+        """
+        if not (self._memory.reserve_head(size) if is_head else self._memory.reserve(size)):
             self.reject(503, "too much is held")
             return False
         if not self._clients.reserve_unfinished(self._client, size):
@@ -283,7 +327,7 @@
             self._release_unfinished()
             self.release(self._message_reserved_bytes)
             self._message_reserved_bytes = 0
-            self._body = b""
+            self._headers, self._header_lines, self._body = {}, [], b""
             error = RequestError(code, text)
             error.is_head = is_head
             self.waiting.append(error)
--- a/dykefold/net/downstream/request_reader.py
+++ b/dykefold/net/downstream/request_reader.py
@@ -124,6 +124,8 @@
         # The parser itself does not limit the length of a header line.
         if assembler.message_bytes > assembler.max_message_bytes:
             assembler.reject(431, "headers are too long")
+        elif assembler.message_unfinished:
+            assembler.account_unfinished(len(data))
         self._arrivals.parsed_bytes += len(data)
         if assembler.in_body:
             self._server.clients.record_body(self._client, len(data))
--- a/dykefold/net/memory_budget.py
+++ b/dykefold/net/memory_budget.py
@@ -19,12 +19,15 @@
             may be buffered twice, and freed memory is fragmented.
         MIN_BYTES: Minimum capacity, in bytes.
         MAX_BYTES: Maximum capacity, in bytes.
+        HEAD_FRACTION: Fraction of the capacity up to which incomplete heads may reserve memory, so that
+            clients and endpoints that do not end their heads leave the rest to complete messages.
     """
 
     PROGRAM_BYTES = 20 * MB
     FRACTION = 0.3
     MIN_BYTES = MB
     MAX_BYTES = 48 * MB
+    HEAD_FRACTION = 0.5
 
     def __init__(self, limit_bytes: int) -> None:
         self.reserved_bytes = 0
@@ -47,6 +50,13 @@
         self.reserved_bytes += size
         return True
 
+    def reserve_head(self, size: int) -> bool:
+        """Reserve bytes for an incomplete head; return False, and reserve none, beyond `HEAD_FRACTION`."""
+        if self.reserved_bytes + size > self.HEAD_FRACTION * self.capacity_bytes:
+            return False
+        self.reserved_bytes += size
+        return True
+
     def release(self, size: int) -> None:
         """Release bytes that were reserved."""
         self.reserved_bytes -= size
--- a/dykefold/net/upstream/response_reader.py
+++ b/dykefold/net/upstream/response_reader.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from ..head_memory import MAX_HEADER_LINES, TrailerLimit, head_memory_bytes
 from ..memory_budget import MemoryBudget
 from .classify import HTTP_OK, HTTP_SERVER_ERROR, HttpProfile, Response
 from .http_fields import BLANKS, HOP_BY_HOP, gather
@@ -31,6 +32,7 @@
         headers: Names and values, without hop-by-hop headers.
         body: Buffered part of the body.
         body_size: Number of bytes reserved in the memory budget for `body`.
+        head_size: Number of bytes reserved in the memory budget for `headers`.
         in_body: Whether the headers are complete.
         length: Value of `Content-Length`; empty if there is none.
         encoding: Value of `Transfer-Encoding`; empty if there is none.
@@ -40,6 +42,7 @@
         load: Load report of the endpoint.
         response: The complete response; None until it is complete.
         surplus: Whether bytes arrived after the complete response.
+        trailers: Limit of the trailers; None before a part of the body was fed.
         streamed: Number of body bytes that were streamed; None while the body is buffered.
         unusable: Whether the response can be neither buffered nor streamed.
     """
@@ -50,6 +53,7 @@
         "closes_after",
         "consumer",
         "encoding",
+        "head_size",
         "headers",
         "in_body",
         "keep_alive",
@@ -62,6 +66,7 @@
         "size",
         "streamed",
         "surplus",
+        "trailers",
         "unusable",
     )
 
@@ -70,6 +75,7 @@
         self.consumer: ResponseConsumer | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.body_size = 0
+        self.head_size = 0
         self.size = 0
         self.unusable = False
         self.streamed: int | None = None
@@ -95,6 +101,7 @@
         self.load = b""
         self.response: Response | None = None
         self.surplus = False
+        self.trailers: TrailerLimit | None = None
 
     def feed(self, data: bytes) -> bool:
         """Parse the next bytes; `response` is set once it is complete.
@@ -112,7 +119,7 @@
         consumer = self.consumer
         if self.response is not None or consumer is None:  # A piece may have made the consumer give up.
             return True
-        if self.unusable:
+        if self.unusable or not self._is_within_memory(len(data)):
             return False
         # Chunked framing may add any number of bytes: without a maximum it would exhaust the memory.
         return self.streamed is not None or self.size <= MAX_HEADERS_BYTES + (
@@ -133,17 +140,37 @@
 
     def release(self) -> None:
         """Release the memory of the response."""
-        if self.body_size:
-            self.memory.release(self.body_size)
-            self.body_size = 0
+        if self.body_size or self.head_size:
+            self.memory.release(self.body_size + self.head_size)
+            self.body_size = self.head_size = 0
         self.body, self.headers, self.response = b"", [], None
 
     def expects_only_body(self, size: int) -> bool:
         """Return whether the next `size` bytes all belong to one body, which makes them cheap to parse."""
         if not self.in_body or self.encoding or not self.length:
             return False
-        received = self.body_size if self.streamed is None else self.streamed
-        return int(self.length) - received >= size
+        return int(self.length) - self._received() >= size
+
+    def _received(self) -> int:
+        """Return the number of bytes received of the body."""
+        return self.body_size if self.streamed is None else self.streamed
+
+    def _is_within_memory(self, size: int) -> bool:
+        """Account for fed bytes, after which the response is incomplete; return False beyond a limit."""
+        if not self.in_body:
+            return self._reserve_head()
+        if self.trailers is None:
+            self.trailers = TrailerLimit()
+        return not self.trailers.exceeded_by(size, self._received())
+
+    def _reserve_head(self) -> bool:
+        """Reserve memory for the head as it has arrived; return False if there is no capacity."""
+        missing_bytes = head_memory_bytes(self.size, len(self.headers)) - self.head_size
+        if missing_bytes > 0:
+            if not self.memory.reserve_head(missing_bytes):
+                return False
+            self.head_size += missing_bytes
+        return True
 
     def on_message_begin(self) -> None:
         """Record surplus bytes if a message begins after a complete response."""
@@ -173,12 +200,17 @@
             # A trailing tab is kept, which makes the response unusable: the parser does not recognize such a
             # coding, and would treat the framing as the body.
             self.encoding = raw_value.strip(b" ")
+        elif len(self.headers) >= MAX_HEADER_LINES:
+            self.unusable = True
         elif lower_name not in HOP_BY_HOP:
             self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Decide how the body is handled, now that the headers are complete."""
-        if self.response is not None or self.parser.get_status_code() < HTTP_OK:
+        if self.response is not None or self.unusable or self.parser.get_status_code() < HTTP_OK:
+            return
+        if not self._reserve_head():
+            self.unusable = True
             return
         self.in_body = True
         assert self.consumer is not None
--- a/tests/net/test_hostile_messages.py
+++ b/tests/net/test_hostile_messages.py
@@ -9,7 +9,17 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from net_helpers import MS, WAIT_TIMEOUT_S, Sidecar, config, list_update, request_message, run, wait_until
+from net_helpers import (
+    MS,
+    WAIT_TIMEOUT_S,
+    FakeTransport,
+    Sidecar,
+    config,
+    list_update,
+    request_message,
+    run,
+    wait_until,
+)
 
 from dykefold.net.downstream.connection import ClientConnection
 from dykefold.net.downstream.request_assembler import MAX_HEADERS_BYTES
@@ -21,38 +31,6 @@
 MAX_FIXED_CALLS = 200  # allowed in addition, regardless of the size
 
 
-class FakeTransport:
-    """A transport without a socket that records written bytes."""
-
-    def __init__(self):
-        self.written = b""
-        self.reading = True
-        self.closing = False
-
-    def write(self, data):
-        self.written += data
-
-    def is_closing(self):
-        return self.closing
-
-    def get_extra_info(self, name):
-        return None
-
-    def pause_reading(self):
-        self.reading = False
-
-    def resume_reading(self):
-        self.reading = True
-
-    def close(self):
-        self.closing = True
-
-    def set_write_buffer_limits(self, high):
-        assert high == 0
-
-    write_eof = abort = close
-
-
 class CallMeter:
     """Counts Python calls: `worst` is the highest ratio of calls to the calls that the bytes allow."""
 
--- a/tests/net/test_response_reader.py
+++ b/tests/net/test_response_reader.py
@@ -1,33 +1,15 @@
 """The response reader on its own, fed with bytes: buffered and streamed responses."""
 
 import pytest
+from net_helpers import FakeConsumer
 
 from dykefold.net.memory_budget import MB, MemoryBudget
 from dykefold.net.upstream.classify import HttpProfile
 from dykefold.net.upstream.response_reader import MAX_HEADERS_BYTES, ResponseReader
 
-MAX_BODY_BYTES = 64
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
-class FakeConsumer:
-    """Stand-in for an exchange that stores what is streamed to it."""
-
-    def __init__(self, profile=HttpProfile.PLATFORM, max_streamed_bytes=0):
-        self.profile = profile
-        self.max_response_bytes = MAX_BODY_BYTES
-        self.max_streamed_bytes = max_streamed_bytes
-        self.begin_calls = []
-        self.pieces = []
-
-    def begin_response(self, code, headers, length, load):
-        self.begin_calls.append((code, headers, length, load))
-        return True
-
-    def send_response_chunk(self, data):
-        self.pieces.append(data)
-
-
 def make_reader(consumer=None):
     reader = ResponseReader(MemoryBudget(64 * MB))
     reader.begin(consumer or FakeConsumer())
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -12,11 +12,13 @@
 import uvloop
 
 from dykefold.__main__ import Reload, create_sidecar_server
+from dykefold.net.upstream.classify import HttpProfile
 from dykefold.net.upstream.limits import MIN_REUSE_IDLE_S
 from dykefold.sidecar_config import read_config
 
 HOST = "127.0.0.1"
 MS = 1_000_000
+MAX_BODY_BYTES = 64  # of a response that a `FakeConsumer` buffers
 WAIT_TIMEOUT_S = 20.0  # a test that waits for an event fails after this time
 
 
@@ -75,6 +77,56 @@
     local_sock.send(b"x")
 
 
+class FakeTransport:
+    """A transport without a socket that records written bytes."""
+
+    def __init__(self):
+        self.written = b""
+        self.reading = True
+        self.closing = False
+
+    def write(self, data):
+        self.written += data
+
+    def is_closing(self):
+        return self.closing
+
+    def get_extra_info(self, name):
+        return None
+
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
+    def close(self):
+        self.closing = True
+
+    def set_write_buffer_limits(self, high):
+        assert high == 0
+
+    write_eof = abort = close
+
+
+class FakeConsumer:
+    """Stand-in for an exchange that stores what is streamed to it."""
+
+    def __init__(self, profile=HttpProfile.PLATFORM, max_streamed_bytes=0):
+        self.profile = profile
+        self.max_response_bytes = MAX_BODY_BYTES
+        self.max_streamed_bytes = max_streamed_bytes
+        self.begin_calls = []
+        self.pieces = []
+
+    def begin_response(self, code, headers, length, load):
+        self.begin_calls.append((code, headers, length, load))
+        return True
+
+    def send_response_chunk(self, data):
+        self.pieces.append(data)
+
+
 @dataclass
 class ReceivedMessage:
     """An HTTP message as received by a fake peer or a client.
