Maintenance: orders concern the process and outlive the pool that knew them

Cause: orders were kept by pool and given only to pools that listed the server. A pool that a reload creates began without orders, and the durable record was overwritten without them.

Change: an order is given to every pool of the process, and a pool that is added takes over the orders of all others. An endpoint that nobody lists still gets 404.

--- a/dykefold/control/admin_operations.py
+++ b/dykefold/control/admin_operations.py
@@ -85,9 +85,10 @@
         if request.action is Action.HEALTH:
             on_response(self._health())
             return
-        pools = [pool for pool in self.sidecar.pools if pool.maintenance.is_known(request.endpoint_name)]
+        # An order is given to every pool, since any of them may list the endpoint later.
+        pools = list(self.sidecar.pools)
         is_out_order = request.action is Action.OUT
-        if not pools:
+        if not any(pool.maintenance.is_known(request.endpoint_name) for pool in pools):
             on_response(UNKNOWN_ENDPOINT)
         elif is_out_order and any(
             pool.maintenance.would_exceed_limit(request.endpoint_name) for pool in pools
--- a/dykefold/net/service/endpoint_registry.py
+++ b/dykefold/net/service/endpoint_registry.py
@@ -174,7 +174,7 @@
     # Maintenance orders
 
     def maintain(self, name: str, take_out: bool) -> bool:
-        """Take a known endpoint out of service, or return it to service.
+        """Take an endpoint out of service, or return it to service.
 
         Returns:
             Whether the order changed anything.
--- a/dykefold/net/service/maintenance.py
+++ b/dykefold/net/service/maintenance.py
@@ -5,7 +5,8 @@
    to service. Orders do not accumulate: one return order cancels any number of earlier orders.
 2. An endpoint that is returned to service has the state that discovery lists, and is in slow start from then
    on: operators restart endpoints that are out of service, and the endpoint list may not show that yet.
-3. Only a known endpoint can be taken out of service: one that is listed, or that is already out.
+3. Only a known endpoint can be taken out of service: one that some pool of the process lists, or that is
+   already out. The order applies to every pool of the process, also to one that is created later.
 4. The later of two orders on one endpoint takes effect, whichever process received it (`merge`).
 5. The number of remembered orders is limited: `MAX_OUT_OF_SERVICE` endpoints that are out of service, and
    `MAX_REMEMBERED_RETURNS` return orders, which another process may not know of yet.
@@ -116,7 +117,7 @@
         return not self.is_out_of_service(name) and len(self.names_out_of_service()) >= MAX_OUT_OF_SERVICE
 
     def apply_order(self, name: str, take_out: bool, ordered_ns: int) -> list[EntryT]:
-        """Apply an operator's order on a known endpoint.
+        """Apply an operator's order on an endpoint, which this pool may list only later.
 
         Args:
             name: Name of the endpoint.
--- a/dykefold/net/service/pool.py
+++ b/dykefold/net/service/pool.py
@@ -339,7 +339,7 @@
         self.endpoints.adopt(record)
 
     def apply_order(self, name: str, take_out: bool) -> bool:
-        """Take a known endpoint out of service, or return it to service; return whether that is a change."""
+        """Take an endpoint out of service, or return it to service; return whether that is a change."""
         return self.endpoints.maintain(name, take_out)
 
     def merge_maintenance(self, orders: Mapping[str, MaintenanceOrder]) -> None:
--- a/dykefold/net/sidecar.py
+++ b/dykefold/net/sidecar.py
@@ -142,7 +142,7 @@
             config: Initial settings, endpoints and random seed of the pool.
         """
         self.pool = Pool(self, config)
-        self.pools[self.pool] = None
+        self.add_pool(self.pool)
         self.generation = ClassGeneration(config.settings)
         self.parser = RequestParser(config.settings, self.pool)
 
@@ -177,6 +177,12 @@
         previous = self.parser.keep_as_fallback(now_ns, now_ns + RETIRED_CLASS_LINGER_NS)
         self.parser = RequestParser(generation.settings, pool, generation.retired, previous)
 
+    def add_pool(self, pool: Pool) -> None:
+        """Add a pool; operators' orders, which concern all pools of the process, apply to it from now on."""
+        for other in self.pools:
+            pool.merge_maintenance(other.maintenance.orders)
+        self.pools[pool] = None
+
     def remove_pool(self, pool: Pool) -> None:
         """Remove a pool that has retired."""
         self.pools.pop(pool, None)
--- a/dykefold/routing/services.py
+++ b/dykefold/routing/services.py
@@ -165,7 +165,7 @@
             label=plan.name,
         )
         pool = Pool(self._sidecar, config, budget, self._sidecar.close_unneeded_upstream)
-        self._sidecar.pools[pool] = None
+        self._sidecar.add_pool(pool)
         return Service(plan, pool, budget)
 
     def _update(self, service: Service, plan: PoolPlan) -> Service:
