Hot restart: processes share the ids of open and just finished requests

Cause: the check of an id against open and just finished ones was made in the memory of one process.

Change: while several processes live, each publishes an id in a log in the state directory before it admits the request, and then looks for it in the logs of the others. The older process publishes its ids before it acknowledges a newer one. A lone process writes nothing. Two more descriptors are set aside for the logs.

--- a/dykefold/admission/budget.py
+++ b/dykefold/admission/budget.py
@@ -12,7 +12,8 @@
 ACCEPTED_DESCRIPTORS = 16  # Accepted in one loop iteration, before the closes that made room take effect.
 DISCOVERY_CONNECTIONS = 3  # A watch, a call beside it while the watch is silent, and a fetch.
 DISCOVERY_DESCRIPTORS = 2 * DISCOVERY_CONNECTIONS  # At the old and the new discovery address during a change.
-FILE_DESCRIPTORS = 3  # The configuration file, and files that the runtime opens occasionally.
+# The configuration file, files that the runtime opens occasionally, and the request ids of two processes.
+FILE_DESCRIPTORS = 5
 RESERVE_DESCRIPTORS = 1  # See `ReserveDescriptor`.
 PROCESS_DESCRIPTORS = (
     LOOP_DESCRIPTORS + ACCEPTED_DESCRIPTORS + DISCOVERY_DESCRIPTORS + FILE_DESCRIPTORS + RESERVE_DESCRIPTORS
--- a/dykefold/control/hot_restart.py
+++ b/dykefold/control/hot_restart.py
@@ -30,6 +30,7 @@
 )
 from .protocols import RestartHost
 from .record_cleanup import dead_processes, remove_records
+from .request_id_sharing import RequestIdSharing
 from .snapshot_transfer import SnapshotTransfer
 from .state_directory import StateDirectory
 
@@ -72,6 +73,7 @@
         self.endpoint_lists = EndpointListSharing(sidecar.pools, directory, name)
         self.snapshots = SnapshotTransfer(sidecar.pools, directory, name, started_ns, self.read_clock)
         self.maintenance = MaintenanceRecords(sidecar.pools, directory, name, self.read_clock)
+        self.request_ids = RequestIdSharing(sidecar.request_ids, directory.logs, name, self.now_ns)
         self.process_count = 1
         self.others: dict[str, ProcessHeartbeat] = {}  # heartbeats of live processes, by process name
         self.records_current = True  # the last observation found the records of this process as written
@@ -90,6 +92,7 @@
 
     async def wait_for_capacity(self) -> None:
         """Wait until older processes have released the quota of this one, or are dead."""
+        self.request_ids.create_log()  # Older processes follow it before they acknowledge this one.
         self.write_records()
         while not self._may_start() and not self.sidecar.draining:
             # Others must see the claim of this process before it uses the claimed descriptors.
@@ -120,6 +123,7 @@
         """
         self.machine.start_with(self.sidecar.needed_descriptors())
         self.joining_since_ns = self.now_ns()
+        self.request_ids.create_log()
         self._try_to_join()
 
     def _try_to_join(self) -> None:
@@ -165,6 +169,7 @@
             if name not in (self.heartbeat_name, self.maintenance.record_name):
                 self.maintenance.merge(record)
         observation = self._observe_processes(now_ns, heartbeats)
+        self.request_ids.update(self.others)
         self._apply(observation)
         for name in self.others:
             self.endpoint_lists.adopt(name, records[RecordKind.HEARTBEAT.of_process(name)])
@@ -260,6 +265,7 @@
         """Stop the observation; the records stay unless a newer process has recorded the same orders."""
         if self.timer is not None:
             self.timer.cancel()
+        self.request_ids.close()
         if self.sidecar.handing_over and self.maintenance.are_recorded_by_others(self.others):
             remove_records(self.directory, self.machine.name)
 
--- a/dykefold/control/protocols.py
+++ b/dykefold/control/protocols.py
@@ -10,6 +10,7 @@
 
     from ..admission.listener import Listener
     from ..net.clock import Clock
+    from ..net.request_ids import RequestIds
     from ..net.service.pool import Pool
 
 
@@ -46,6 +47,11 @@
         """All pools of the server; the collection changes with them."""
         ...
 
+    @property
+    def request_ids(self) -> RequestIds:
+        """Ids of the requests that are open or have finished recently in this process."""
+        ...
+
     @property
     def listener(self) -> Listener | None:
         """The listener for clients; None before the first one."""
--- a/dykefold/control/record_cleanup.py
+++ b/dykefold/control/record_cleanup.py
@@ -6,6 +6,7 @@
 
 from .hot_restart_state import ProcessHeartbeat
 from .process_records import RecordKind
+from .request_id_sharing import log_name
 from .state_directory import StateDirectory
 
 
@@ -27,6 +28,7 @@
 
 
 def remove_records(directory: StateDirectory, process: str) -> None:
-    """Remove all records of a process, its heartbeat last."""
+    """Remove the log and all records of a process, its heartbeat last."""
+    directory.logs.remove(log_name(process))
     for kind in RecordKind:
         directory.remove(kind.of_process(process))
--- a/dykefold/control/state_directory.py
+++ b/dykefold/control/state_directory.py
@@ -27,6 +27,7 @@
 from pathlib import Path
 from typing import Any, Protocol
 
+from .append_log import FileLogs, Logs
 from .file_system import FILE_SYSTEM, FileSystem
 from .process_records import RecordKind
 
@@ -49,7 +50,13 @@
 
 
 class StateDirectory(Protocol):
-    """Records by name, which every process of the sidecar can read."""
+    """Records by name, which every process of the sidecar can read.
+
+    Attributes:
+        logs: Append-only logs by name.
+    """
+
+    logs: Logs
 
     def changed(self) -> bool:
         """Whether anything may have been written since the last `read_all`."""
@@ -122,6 +129,7 @@
     ) -> None:
         self.path = Path(folder) / FOLDER_NAME
         self.files = files
+        self.logs: Logs = FileLogs(self.path, files)
         self.monotonic_ns = monotonic_ns
         self.lock_descriptor: int | None = None
         self.logged_records: set[str] = set()  # names of records with a logged failure
--- a/dykefold/net/sidecar.py
+++ b/dykefold/net/sidecar.py
@@ -9,7 +9,6 @@
 import logging
 import math
 import socket
-from collections import deque
 from dataclasses import dataclass, field
 
 from ..admission.addresses import AddressLimits
@@ -31,6 +30,7 @@
 from .memory_budget import MemoryBudget
 from .peers import PeerChannel
 from .read_scheduler import ReadScheduler
+from .request_ids import RequestIds
 from .service.http_encoding import retry_after
 from .service.pool import Pool
 from .service.pool_config import PoolConfig
@@ -41,11 +41,9 @@
 log = logging.getLogger("dykefold")
 
 SWEEP_INTERVAL_S = 0.25
-# The id of a finished request can't be reused for this time, while it is among the `MAX_RECENT_IDS` latest.
-RECENT_ID_S = 4.0
-MAX_RECENT_IDS = 8192
 RETRY_AFTER_NS = 500 * NS_PER_MS  # Retry-After of a rejection because this process lacks capacity
 EXCEPTION_LOG_INTERVAL_S = 1.0  # minimum time between two logged exceptions
+DUPLICATE_ID_REJECTION = (409, b"", b"a request with this id is open or has just been\n")
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,8 +86,7 @@
         read_scheduler: Connections whose input waits to be parsed.
         timer_wheel: Timers of requests and attempts.
         peers: Datagram channel to other sidecars; None without one.
-        ids: Ids of requests that are pending or have finished recently, as their clients named them.
-        finished_ids: Ids of recently finished requests, each with its end in seconds of the monotonic clock.
+        request_ids: Ids of requests that are pending or have finished recently.
         draining: Whether the graceful shutdown has begun.
         handing_over: Whether a newer process takes over the clients.
         accepting_requests: Whether requests are still accepted.
@@ -123,8 +120,7 @@
         self.read_scheduler = ReadScheduler(loop, self.lag_monitor, system)
         self.timer_wheel = TimerWheel(loop, system)
         self.peers: PeerChannel | None = None
-        self.ids: set[bytes] = set()
-        self.finished_ids: deque[tuple[float, bytes]] = deque()
+        self.request_ids = RequestIds(self.monotonic)
         self.draining = False
         self.handing_over = False
         self.accepting_requests = True
@@ -200,26 +196,17 @@
     # Requests
 
     def admit(self, connection: ClientConnection, request: ParsedRequest) -> tuple[int, bytes, bytes] | None:
-        """Reserve what a request will need.
-
-        The request's id must be new. If it were the id of a pending request, an endpoint would take the
-        request for a hedged request; if it were the id of a finished request, an endpoint might run that
-        request again.
+        """Reserve what a request will need; its id must be new in all processes of the sidecar.
 
         Returns:
             Code, headers and text with which the request is rejected; None if it is admitted.
         """
-        finished = self.finished_ids
-        if finished:
-            oldest_s = self.monotonic() - RECENT_ID_S
-            while finished and (finished[0][0] < oldest_s or len(finished) > MAX_RECENT_IDS):
-                self.ids.discard(finished.popleft()[1])
         if self.all_answered:
             # Clients may pipeline requests on a connection that is never idle. A request that is accepted
             # now would still be pending when the process stops.
             return 503, _retry_after_header(request.pool), b"this sidecar ends\n"
-        if request.x_request_id in self.ids:
-            return 409, b"", b"a request with this id is open or has just been\n"
+        if self.request_ids.is_known(request.x_request_id):
+            return DUPLICATE_ID_REJECTION
         pool: Pool = request.pool
         if not self.clients.open_request(connection.client):
             return 429, _retry_after_header(pool), b"too many open requests from this address\n"
@@ -227,7 +214,10 @@
             self.clients.close_request(connection.client, served=False)
             self.clients.rejections.add(RejectionReason.ALL_OPEN_REQUESTS, connection.client.host)
             return 503, _retry_after_header(pool), b"too many open requests\n"
-        self.ids.add(request.x_request_id)
+        if not self.request_ids.open(request.x_request_id):
+            self.clients.close_request(connection.client, served=False)
+            pool.budget.release()
+            return DUPLICATE_ID_REJECTION
         return None
 
     def accept(self, connection: ClientConnection, request: ParsedRequest) -> None:
@@ -237,7 +227,7 @@
     def on_request_end(self, sink: ResponseSink, request: ParsedRequest, served: bool) -> None:
         """Release the capacity that a finished request had reserved."""
         self.clients.close_request(sink.client, served)
-        self.finished_ids.append((self.monotonic(), request.x_request_id))
+        self.request_ids.finish(request.x_request_id)
         if self.draining:
             self.shutdown.stop_if_done()
 
--- a/dykefold/sim/state_directory.py
+++ b/dykefold/sim/state_directory.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from ..control.append_log import Logs
 from .loop import SimLoop
 
 
@@ -14,6 +15,7 @@
 
     Attributes:
         records: JSON text of each record, by name.
+        logs: Contents of each log, by name; a replaced log keeps its own contents.
         holders: Event loop of the process that holds each lock, by name.
         changes: Number of writes and removals so far.
         full: Number of active faults that make writes fail.
@@ -21,6 +23,7 @@
 
     def __init__(self) -> None:
         self.records: dict[str, str] = {}
+        self.logs: dict[str, bytearray] = {}
         self.holders: dict[str, SimLoop] = {}
         self.changes = 0
         self.full = 0
@@ -30,12 +33,78 @@
         self.full -= 1
 
 
+class SimLogs:
+    """The logs of a state directory: `control.append_log.Logs`."""
+
+    def __init__(self, folder: StateDirectoryContents) -> None:
+        self.folder = folder
+
+    def create(self, name: str) -> SimLogWriter | None:
+        """Create an empty log; return None while writes fail."""
+        if self.folder.full:
+            return None
+        contents = self.folder.logs[name] = bytearray()
+        self.folder.changes += 1
+        return SimLogWriter(self.folder, contents)
+
+    def open(self, name: str) -> SimLogReader | None:
+        """Open a log; return None if there is none."""
+        return SimLogReader(self.folder, name) if name in self.folder.logs else None
+
+    def remove(self, name: str) -> None:
+        """Remove a log."""
+        self.folder.logs.pop(name, None)
+        self.folder.changes += 1
+
+
+class SimLogWriter:
+    """Writes one log."""
+
+    def __init__(self, folder: StateDirectoryContents, contents: bytearray) -> None:
+        self.folder = folder
+        self.contents = contents
+
+    def append(self, data: bytes, /) -> bool:
+        """Append data; return False, and append nothing, while writes fail."""
+        if self.folder.full:
+            return False
+        self.contents += data
+        return True
+
+    def close(self) -> None:
+        """Do nothing: no descriptor is open."""
+
+
+class SimLogReader:
+    """Reads one log."""
+
+    def __init__(self, folder: StateDirectoryContents, name: str) -> None:
+        self.folder = folder
+        self.name = name
+        self.contents = folder.logs[name]
+        self.read_bytes = 0
+
+    def read(self) -> bytes:
+        """Return what has been appended since the last call."""
+        data = bytes(self.contents[self.read_bytes :])
+        self.read_bytes += len(data)
+        return data
+
+    def is_replaced(self) -> bool:
+        """Return whether another log, or none, has this name."""
+        return self.folder.logs.get(self.name) is not self.contents
+
+    def close(self) -> None:
+        """Do nothing: no descriptor is open."""
+
+
 class SimStateDirectory:
     """The state directory of one process: a `control.state_directory.StateDirectory`."""
 
     def __init__(self, folder: StateDirectoryContents, loop: SimLoop) -> None:
         self.folder = folder
         self.loop = loop
+        self.logs: Logs = SimLogs(folder)
         self.seen_changes = -1
 
     def changed(self) -> bool:
--- a/tests/control/hot_restart_rig.py
+++ b/tests/control/hot_restart_rig.py
@@ -15,6 +15,7 @@
 from dykefold.control.state_directory import FileStateDirectory
 from dykefold.net.clock import Clock
 from dykefold.net.discovery.codec import EndpointRecord, NameTable
+from dykefold.net.request_ids import RequestIds
 from dykefold.net.service.maintenance import Maintenance
 
 ENDPOINT_NAMES = ("s0", "s1")
@@ -81,6 +82,7 @@
         self.total_descriptors = 384
         self.handing_over = self.draining = False
         self.listener = None
+        self.request_ids = RequestIds(lambda: machine.monotonic_ns() / 1e9)
 
     def needed_descriptors(self):
         return 10
--- a/tests/control/test_hot_restart.py
+++ b/tests/control/test_hot_restart.py
@@ -15,6 +15,7 @@
     Sidecar,
     config,
     endpoint_entry,
+    gated_handler,
     http_response,
     list_update,
     read_message,
@@ -116,6 +117,46 @@
     run(play())
 
 
+@pytest.mark.parametrize("original_at", ["older", "newer"])
+def test_id_that_is_open_or_just_finished_in_one_process_is_rejected_by_the_other(tmp_path, original_at):
+    """Guards against an order that runs twice since its id comes again to another process of the sidecar."""
+
+    async def play():
+        release, handler = gated_handler()
+        fake = await FakePeer(handler).start()
+        sidecars = Sidecars(tmp_path, fake)
+        async with contextlib.AsyncExitStack() as stack:
+            old = await stack.enter_async_context(sidecars.new_process())
+            sidecars.port = old.port
+            # A connection that stays with its process, for a request of the time when both serve.
+            kept_reader, kept_writer = await asyncio.open_connection(HOST, old.port)
+            early = asyncio.create_task(send_request(old.port, request_message("order", "early")))
+            await wait_until(lambda: len(fake.received) == 1)
+            new = await stack.enter_async_context(sidecars.new_process())
+            assert await admin_status(new.admin_port, "GET /healthcheck") == 200
+            assert (await send_request(new.port, request_message("order", "early"))).code == 409
+            new_reader, new_writer = await asyncio.open_connection(HOST, new.port)
+            first, second = (kept_writer, new_writer), (new_writer, kept_writer)
+            original, repeated = first if original_at == "older" else second
+            original.write(request_message("order", "late"))
+            await wait_until(lambda: len(fake.received) == 2)
+            repeated.write(request_message("order", "late"))
+            answers = [kept_reader, new_reader] if repeated is kept_writer else [new_reader, kept_reader]
+            assert (await read_message(answers[0])).code == 409
+            release.set()
+            assert (await read_message(answers[1])).code == 200
+            assert (await early).code == 200
+            old.process.send_signal(signal.SIGTERM)
+            for writer in (kept_writer, new_writer):
+                writer.close()
+            assert await old.process.wait() == 0
+            assert (await send_request(new.port, request_message("order", "early"))).code == 409
+            assert (await send_request(new.port, request_message("order", "other"))).code == 200
+        assert [message.headers["x-request-id"] for message in fake.received] == ["early", "late", "other"]
+
+    run(play())
+
+
 def test_maintenance_orders_apply_in_both_processes_and_outlive_hot_restart(tmp_path):
     async def play():
         fakes = [await FakePeer(respond_ok).start() for _ in range(3)]
--- a/tests/net/test_client_connections.py
+++ b/tests/net/test_client_connections.py
@@ -25,7 +25,7 @@
 
 from dykefold.admission import controller, message_timeouts
 from dykefold.admission.budget import DescriptorBudget
-from dykefold.net import sidecar as sidecar_module
+from dykefold.net import request_ids
 from dykefold.net.downstream import request_parser, response_writer
 from dykefold.net.downstream.lifecycle import TRANSITIONS, ConnectionLifecycle, Lifecycle
 from dykefold.net.memory_budget import MB, MemoryBudget
@@ -457,7 +457,7 @@
 
 
 def test_number_of_remembered_request_ids_is_bounded(tmp_path, monkeypatch):
-    monkeypatch.setattr(sidecar_module, "MAX_RECENT_IDS", 100)
+    monkeypatch.setattr(request_ids, "MAX_RECENT_IDS", 100)
 
     async def scenario():
         fake = await FakePeer(respond_ok).start()
@@ -469,8 +469,8 @@
                 writer.write(request_message("lookup", f"id{number}"))
                 await read_message(reader)
             writer.close()
-            assert len(sidecar.server.ids) <= 102
-            assert len(sidecar.server.finished_ids) <= 102
+            assert len(sidecar.server.request_ids.known) <= 102
+            assert len(sidecar.server.request_ids.finished) <= 102
             assert not sidecar.server.pool.pending
             assert not sidecar.server.pool.attempts
 
--- a/tests/net/test_hostile_messages.py
+++ b/tests/net/test_hostile_messages.py
@@ -146,7 +146,7 @@
     async def scenario(sidecar):
         status_codes = []
         for in_pieces in (False, True):
-            sidecar.server.ids.clear()
+            sidecar.server.request_ids.known.clear()
             pieces, start = [], 0
             for size in sizes if in_pieces else []:
                 pieces.append(data[start : start + size])
