Attempts: none is written after the final answer or after another one's window

Cause: the last check before a write did not ask whether the answer was still awaited, and the window of a key bound the later attempts only, not a first one that waited for its connection.

Change: an attempt is not written once the answer is given or has begun. An attempt that starts bounds the earlier ones of its request by its own window.

--- a/dykefold/net/service/attempt.py
+++ b/dykefold/net/service/attempt.py
@@ -113,6 +113,8 @@
 
     def should_send(self) -> bool:
         """Return whether the attempt may still be written."""
+        if not self.request.awaiting_answer or self.request.streaming_answer:
+            return False  # another attempt has given the final answer, or has begun to
         now_ns = self.host.now()
         if self.write_deadline_ns and now_ns >= self.write_deadline_ns:
             # The endpoint no longer remembers the idempotency key: the attempt would have a second effect.
@@ -121,6 +123,15 @@
             return False  # the response would be too late, but the request may have an effect
         return not self._announced_exceeds_remaining(now_ns) and not self.request.sink.client_has_closed()
 
+    def limit_write(self, deadline_ns: int) -> None:
+        """Apply a time from which the attempt must not be written, unless an earlier one applies.
+
+        Args:
+            deadline_ns: Time in nanoseconds on the clock; 0 for no limit.
+        """
+        if deadline_ns:
+            self.write_deadline_ns = min(self.write_deadline_ns or deadline_ns, deadline_ns)
+
     def _announced_exceeds_remaining(self, now_ns: int) -> bool:
         """Return whether the written head announced more time than the client has left now.
 
--- a/dykefold/net/service/attempts.py
+++ b/dykefold/net/service/attempts.py
@@ -67,7 +67,7 @@
         has_timeout = action.timeout_ns > 0 and upload is None
         timeout_ns = min(action.timeout_ns, remaining_ns) if has_timeout else remaining_ns
         if request.may_have_run or request.attempts_in_flight > 1:
-            attempt.write_deadline_ns = self._idempotency_window_end(request, attempt)
+            attempt.limit_write(self._idempotency_window_end(request, attempt))
         if (
             request.attempt_count > request.max_attempts
             or timeout_ns <= 0
@@ -79,23 +79,40 @@
         attempt.expires_ns = 0 if body_arriving else now_ns + timeout_ns
         # The deadline of a streamed body counts from its last byte, which reaches the endpoint later.
         attempt.announce(announced_stream_time_ns(parsed, now_ns) if body_arriving else timeout_ns)
+        self._limit_waiting_attempts(request, attempt)
         self.connection_pool.start(action.endpoint_number, attempt, timeout_ns / NS_PER_S)
 
+    def _limit_waiting_attempts(self, request: PendingRequest, started: Attempt) -> None:
+        """Limit earlier attempts, which may be waiting for a connection, to the window of a started one.
+
+        The later attempt may run first, so the window in which endpoints remember the key may begin with it.
+        """
+        if request.attempts_in_flight == 1:
+            return
+        window_end_ns = self._window_end(request, started.sent_ns)
+        for other in self.attempts.of(request):
+            if other is not started:
+                other.limit_write(window_end_ns)
+
     def _idempotency_window_end(self, request: PendingRequest, attempt: Attempt) -> int:
         """Return the time from which endpoints may have forgotten the idempotency key; 0 without a key.
 
         The window starts with the first attempt that may have run. A retry that is decided on within the
         window could be written after its end if connecting takes long.
         """
-        settings = self.host.settings
-        request_class = settings.classes[request.parsed.class_number]
-        if request_class.effect is not Effect.KEYED:
-            return 0
         sent_times_ns = [other.sent_ns for other in self.attempts.of(request) if other is not attempt]
         window_start_ns = min(sent_times_ns, default=request.first_run_ns)
         if request.first_run_ns:
             window_start_ns = min(window_start_ns, request.first_run_ns)
-        return window_start_ns + request_class.window_ns - settings.tick_ns
+        return self._window_end(request, window_start_ns)
+
+    def _window_end(self, request: PendingRequest, start_ns: int) -> int:
+        """Return the end of the idempotency window that begins at a time; 0 for a class without keys."""
+        settings = self.host.settings
+        request_class = settings.classes[request.parsed.class_number]
+        if request_class.effect is not Effect.KEYED:
+            return 0
+        return start_ns + request_class.window_ns - settings.tick_ns
 
     def cancel(self, action: Cancel) -> None:
         """Cancel an attempt, unless it streams the body of the request or of the final answer."""
