--- a/dykefold/control/append_log.py
+++ b/dykefold/control/append_log.py
@@ -80,7 +80,7 @@
     def create(self, name: str) -> FileLogWriter | None:
         """Create an empty log: see `Logs.create`."""
         path = self._path(name)
-        with contextlib.suppress(FileNotFoundError, OSError):
+        with contextlib.suppress(OSError):
             self._files.unlink(path)
         try:
             descriptor = self._files.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND)
--- a/dykefold/control/endpoint_list_sharing.py
+++ b/dykefold/control/endpoint_list_sharing.py
@@ -10,7 +10,7 @@
 
 from ..net.service.pool import Pool
 from .process_records import Record, RecordKind, list_version, nested_table
-from .state_directory import StateDirectory
+from .protocols import StateDirectory
 
 log = logging.getLogger("dykefold.control")
 
--- a/dykefold/control/hot_restart.py
+++ b/dykefold/control/hot_restart.py
@@ -28,11 +28,10 @@
     heartbeat_record,
     parse_heartbeat,
 )
-from .protocols import RestartHost
+from .protocols import RestartHost, StateDirectory
 from .record_cleanup import dead_processes, remove_records
 from .request_id_sharing import RequestIdSharing
 from .snapshot_transfer import SnapshotTransfer
-from .state_directory import StateDirectory
 
 log = logging.getLogger("dykefold.control")
 
--- a/dykefold/control/maintenance_records.py
+++ b/dykefold/control/maintenance_records.py
@@ -16,7 +16,7 @@
     orders_on_clock,
     parse_maintenance_orders,
 )
-from .state_directory import StateDirectory
+from .protocols import StateDirectory
 
 
 @dataclass(frozen=True, slots=True)
--- a/dykefold/control/protocols.py
+++ b/dykefold/control/protocols.py
@@ -1,9 +1,9 @@
-"""Interfaces of a sidecar's server that this package uses."""
+"""Interfaces of a sidecar's server, and of the state directory, that this package uses."""
 
 from __future__ import annotations
 
-from collections.abc import Collection
-from typing import TYPE_CHECKING, Protocol
+from collections.abc import Collection, Mapping
+from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
     import socket
@@ -12,6 +12,7 @@
     from ..net.clock import Clock
     from ..net.request_ids import RequestIds
     from ..net.service.pool import Pool
+    from .append_log import Logs
 
 
 class AdminTarget(Protocol):
@@ -96,3 +97,60 @@
     def drain(self) -> None:
         """Start the graceful shutdown."""
         ...
+
+
+class StateDirectory(Protocol):
+    """Records by name, which every process of the sidecar can read.
+
+    Attributes:
+        logs: Append-only logs by name.
+    """
+
+    logs: Logs
+
+    def changed(self) -> bool:
+        """Whether anything may have been written since the last `read_all`."""
+        ...
+
+    def write(self, name: str, record: Mapping[str, Any], /, durable: bool = False) -> bool:
+        """Write a record, replacing an earlier record of that name.
+
+        Args:
+            name: Name of the record.
+            record: Contents of the record, which are stored as JSON.
+            durable: Whether the record must survive a crash of the machine before this returns.
+
+        Returns:
+            Whether the record was written.
+        """
+        ...
+
+    def read(self, name: str) -> dict[str, Any] | None:
+        """Return the record of a name; None if it is missing or can't be read."""
+        ...
+
+    def read_all(self, *prefixes: str) -> dict[str, dict[str, Any]]:
+        """Return all readable records whose names begin with one of the prefixes, by name."""
+        ...
+
+    def remove(self, name: str) -> None:
+        """Remove a record and its lock; a missing record is no error."""
+        ...
+
+    def lock(self, name: str) -> bool:
+        """Lock a name until this process ends, to show that the process is alive.
+
+        Repeated calls are harmless. A call after the lock file was removed locks a new file.
+
+        Returns:
+            Whether the name is locked.
+        """
+        ...
+
+    def is_alive(self, name: str) -> bool | None:
+        """Whether the process that locked a name is alive; None if that can't be determined."""
+        ...
+
+    def boot_id(self) -> str:
+        """Return the identifier of this boot of the machine; empty if the system has none."""
+        ...
--- a/dykefold/control/record_cleanup.py
+++ b/dykefold/control/record_cleanup.py
@@ -6,8 +6,8 @@
 
 from .hot_restart_state import ProcessHeartbeat
 from .process_records import RecordKind
+from .protocols import StateDirectory
 from .request_id_sharing import log_name
-from .state_directory import StateDirectory
 
 
 def dead_processes(
--- a/dykefold/control/snapshot_transfer.py
+++ b/dykefold/control/snapshot_transfer.py
@@ -9,7 +9,7 @@
 from .balancer_snapshot import restore, snapshot
 from .hot_restart_state import MAX_CAPACITY_WAIT_NS, HotRestartState, ProcessHeartbeat
 from .process_records import ClockReading, RecordKind, nested_table, shift_between_clocks
-from .state_directory import StateDirectory
+from .protocols import StateDirectory
 
 log = logging.getLogger("dykefold.control")
 
--- a/dykefold/control/state_directory.py
+++ b/dykefold/control/state_directory.py
@@ -25,7 +25,7 @@
 import time
 from collections.abc import Callable, Collection, Mapping
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 from .append_log import FileLogs, Logs
 from .file_system import FILE_SYSTEM, FileSystem
@@ -49,63 +49,6 @@
 TEMPORARY_FILE = re.compile(r"\.(?P<name>.+)\.(?P<process>\d{1,10})")
 
 
-class StateDirectory(Protocol):
-    """Records by name, which every process of the sidecar can read.
-
-    Attributes:
-        logs: Append-only logs by name.
-    """
-
-    logs: Logs
-
-    def changed(self) -> bool:
-        """Whether anything may have been written since the last `read_all`."""
-        ...
-
-    def write(self, name: str, record: Mapping[str, Any], /, durable: bool = False) -> bool:
-        """Write a record, replacing an earlier record of that name.
-
-        Args:
-            name: Name of the record.
-            record: Contents of the record, which are stored as JSON.
-            durable: Whether the record must survive a crash of the machine before this returns.
-
-        Returns:
-            Whether the record was written.
-        """
-        ...
-
-    def read(self, name: str) -> dict[str, Any] | None:
-        """Return the record of a name; None if it is missing or can't be read."""
-        ...
-
-    def read_all(self, *prefixes: str) -> dict[str, dict[str, Any]]:
-        """Return all readable records whose names begin with one of the prefixes, by name."""
-        ...
-
-    def remove(self, name: str) -> None:
-        """Remove a record and its lock; a missing record is no error."""
-        ...
-
-    def lock(self, name: str) -> bool:
-        """Lock a name until this process ends, to show that the process is alive.
-
-        Repeated calls are harmless. A call after the lock file was removed locks a new file.
-
-        Returns:
-            Whether the name is locked.
-        """
-        ...
-
-    def is_alive(self, name: str) -> bool | None:
-        """Whether the process that locked a name is alive; None if that can't be determined."""
-        ...
-
-    def boot_id(self) -> str:
-        """Return the identifier of this boot of the machine; empty if the system has none."""
-        ...
-
-
 class FileStateDirectory:
     """A state directory whose records are files.
 
@@ -179,7 +122,7 @@
     # Records
 
     def write(self, name: str, record: Mapping[str, Any], /, durable: bool = False) -> bool:
-        """Write a record: see `StateDirectory.write`."""
+        """Write a record: see `protocols.StateDirectory.write`."""
         temporary = self.path / f".{name}.{os.getpid()}"
         data = json.dumps({"version": RECORD_VERSION, **record}).encode()
         try:
@@ -228,7 +171,7 @@
                 self.files.close(descriptor)
 
     def read(self, name: str) -> dict[str, Any] | None:
-        """Return a record: see `StateDirectory.read`."""
+        """Return a record: see `protocols.StateDirectory.read`."""
         try:
             data = self._read_file(self._record_path(name))
             record = json.loads(data) if len(data) <= MAX_FILE_BYTES else None
@@ -262,7 +205,7 @@
                 self.files.close(descriptor)
 
     def read_all(self, *prefixes: str) -> dict[str, dict[str, Any]]:
-        """Return records: see `StateDirectory.read_all`."""
+        """Return records: see `protocols.StateDirectory.read_all`."""
         self.cleaned_up = self.cleaned_up or self._clean_up()
         self._begin_read()
         try:
@@ -288,7 +231,7 @@
     # Locks
 
     def lock(self, name: str) -> bool:
-        """Lock a name: see `StateDirectory.lock`."""
+        """Lock a name: see `protocols.StateDirectory.lock`."""
         path = self._lock_path(name)
         if self._is_locked_file(path):
             return True
@@ -334,7 +277,7 @@
                 self.files.close(descriptor)
 
     def is_alive(self, name: str) -> bool | None:
-        """Whether a process is alive: see `StateDirectory.is_alive`."""
+        """Whether a process is alive: see `protocols.StateDirectory.is_alive`."""
         try:
             descriptor = self.files.open(self._lock_path(name), os.O_RDONLY | os.O_NONBLOCK)
         except OSError:
--- a/dykefold/sim/state_directory.py
+++ b/dykefold/sim/state_directory.py
@@ -99,7 +99,7 @@
 
 
 class SimStateDirectory:
-    """The state directory of one process: a `control.state_directory.StateDirectory`."""
+    """The state directory of one process: a `control.protocols.StateDirectory`."""
 
     def __init__(self, folder: StateDirectoryContents, loop: SimLoop) -> None:
         self.folder = folder
