--- a/dykefold/net/downstream/request_assembler.py
+++ b/dykefold/net/downstream/request_assembler.py
@@ -153,10 +153,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header by its name, and as the line that is forwarded."""
-        if self.in_body or self.discarding_input:  # Trailers are discarded.
-            return
-        if len(self._header_lines) >= MAX_HEADER_LINES:
-            self.reject(431, "headers are too long")
+        if self.in_body:  # Trailers are discarded.
             return
         lower_name = name.lower()
         # The parser does not accept `chunked` followed by a tab, so the tab must not be stripped here.
@@ -182,7 +179,7 @@
         memory_bytes, line_count = size, len(self._header_lines)
         if size > SMALL_HEAD_BYTES or line_count > SMALL_HEAD_LINES:
             memory_bytes = max(size, head_memory_bytes(size, line_count))
-        if size > MAX_HEADERS_BYTES:
+        if size > MAX_HEADERS_BYTES or line_count > MAX_HEADER_LINES:
             self.reject(431, "headers are too long")
         elif b"transfer-encoding" in headers and headers[b"transfer-encoding"].lower() != b"chunked":
             self.reject(501, "Transfer-Encoding must be chunked")
@@ -286,8 +283,11 @@
         if self.discarding_input:
             return
         if self.message_begun and not self.in_body:
-            needed_bytes = head_memory_bytes(self.message_bytes, len(self._header_lines))
-            if needed_bytes > self._message_reserved_bytes:
+            line_count = len(self._header_lines)
+            needed_bytes = head_memory_bytes(self.message_bytes, line_count)
+            if line_count > MAX_HEADER_LINES:
+                self.reject(431, "headers are too long")
+            elif needed_bytes > self._message_reserved_bytes:
                 self._reserve(needed_bytes - self._message_reserved_bytes, is_head=True)
             return
         if self._trailers is None:
--- a/dykefold/net/service/attempts.py
+++ b/dykefold/net/service/attempts.py
@@ -79,7 +79,8 @@
         attempt.expires_ns = 0 if body_arriving else now_ns + timeout_ns
         # The deadline of a streamed body counts from its last byte, which reaches the endpoint later.
         attempt.announce(announced_stream_time_ns(parsed, now_ns) if body_arriving else timeout_ns)
-        self._limit_waiting_attempts(request, attempt)
+        if request.attempts_in_flight > 1:
+            self._limit_waiting_attempts(request, attempt)
         self.connection_pool.start(action.endpoint_number, attempt, timeout_ns / NS_PER_S)
 
     def _limit_waiting_attempts(self, request: PendingRequest, started: Attempt) -> None:
@@ -87,8 +88,6 @@
 
         The later attempt may run first, so the window in which endpoints remember the key may begin with it.
         """
-        if request.attempts_in_flight == 1:
-            return
         window_end_ns = self._window_end(request, started.sent_ns)
         for other in self.attempts.of(request):
             if other is not started:
--- a/dykefold/net/upstream/response_reader.py
+++ b/dykefold/net/upstream/response_reader.py
@@ -9,7 +9,13 @@
 
 import httptools
 
-from ..head_memory import MAX_HEADER_LINES, TrailerLimit, head_memory_bytes
+from ..head_memory import (
+    MAX_HEADER_LINES,
+    SMALL_HEAD_BYTES,
+    SMALL_HEAD_LINES,
+    TrailerLimit,
+    head_memory_bytes,
+)
 from ..memory_budget import MemoryBudget
 from .classify import HTTP_OK, HTTP_SERVER_ERROR, HttpProfile, Response
 from .http_fields import BLANKS, HOP_BY_HOP, gather
@@ -164,7 +170,9 @@
         return not self.trailers.exceeded_by(size, self._received())
 
     def _reserve_head(self) -> bool:
-        """Reserve memory for the head as it has arrived; return False if there is no capacity."""
+        """Reserve memory for the head as it has arrived; return False if it is too long for the limits."""
+        if len(self.headers) > MAX_HEADER_LINES:
+            return False
         missing_bytes = head_memory_bytes(self.size, len(self.headers)) - self.head_size
         if missing_bytes > 0:
             if not self.memory.reserve_head(missing_bytes):
@@ -200,8 +208,6 @@
             # A trailing tab is kept, which makes the response unusable: the parser does not recognize such a
             # coding, and would treat the framing as the body.
             self.encoding = raw_value.strip(b" ")
-        elif len(self.headers) >= MAX_HEADER_LINES:
-            self.unusable = True
         elif lower_name not in HOP_BY_HOP:
             self.headers.append((name, value))
 
@@ -209,7 +215,8 @@
         """Decide how the body is handled, now that the headers are complete."""
         if self.response is not None or self.unusable or self.parser.get_status_code() < HTTP_OK:
             return
-        if not self._reserve_head():
+        is_small = self.size <= SMALL_HEAD_BYTES and len(self.headers) <= SMALL_HEAD_LINES
+        if not is_small and not self._reserve_head():
             self.unusable = True
             return
         self.in_body = True
