--- a/tests/net/test_head_memory.py
+++ b/tests/net/test_head_memory.py
@@ -88,9 +88,11 @@
             for piece in slices(b"GET /lookup/part HTTP/1.1\r\n" + INCOMPLETE_HEADS["endless-line"][:-100]):
                 connection.data_received(piece)
         assert any(b" 503 " in transport.written for _, transport in stuck)
-        usual, _ = connect(server)
-        usual.data_received(request_message("lookup", "usual"))
-        assert usual.busy
+        for number in range(4):
+            usual, _ = connect(server)
+            for piece in slices(request_message("order", f"usual{number}", body=b"x" * 60_000)):
+                usual.data_received(piece)
+            assert usual.busy
 
     with_sidecar(tmp_path, scenario)
 
