Answers of unknown length are not cut off while they flow

Cause: an answer without a length is buffered until it exceeds 64 KiB, since it may be short. Until then it was treated as a short one: the check for stalled answers ended it after a pause of 0.5 s, and the limits of the attempt and of the request ended it near the deadline.

Change: a successful answer of unknown length that has begun runs on past the limit of its attempt. Near the deadline it becomes the final answer with what has come, and the rest follows. It is given up when no byte has come for 2 s; a cancelled attempt with such an answer goes on while its request waits.

Evidence: attempts closed 0.501 s after their head, and 14 to 17 ms before the deadline; with a length none. The price: a server that hangs within an answer in chunks is no longer left for another one after 0.5 s.

--- a/dykefold/net/service/attempt.py
+++ b/dykefold/net/service/attempt.py
@@ -16,6 +16,8 @@
 from .pending_request import PendingRequest
 from .protocols import AttemptHost
 
+# The last attempt is given up this long before the client's deadline.
+ATTEMPT_MARGIN_NS = 15 * NS_PER_MS
 # A streamed body or answer must progress within this time while it depends on the endpoint.
 STREAM_STALL_TIMEOUT_S = 3.0
 # Maximum excess of the announced time over the client's remaining time when the last byte is written.
@@ -94,11 +96,46 @@
         A long stream may outlast any deadline. Only a stalled stream is given up, since its client would
         otherwise wait forever.
         """
-        if not self._streaming() or not self._has_progressed():
+        if self._streaming():
+            if self._has_progressed():
+                self._restart_stall_timer()
+            else:
+                super().expire()
+        elif not self._await_flowing_response():
             super().expire()
-        elif self.timer_wheel is not None:
+
+    def _restart_stall_timer(self) -> None:
+        if self.timer_wheel is not None:
             self.timer_wheel.start(self, STREAM_STALL_TIMEOUT_S, self.host.monotonic())
 
+    @property
+    def response_flows(self) -> bool:
+        """Whether a successful response of unknown length has begun; it must not be cut off."""
+        return self.connection is not None and self.connection.response_flows
+
+    def _await_flowing_response(self) -> bool:
+        """Go on with a response that flows: buffered until the deadline is near, and streamed from then on.
+
+        Returns:
+            Whether there is such a response.
+        """
+        if not self.response_flows or self.timer_wheel is None:
+            return False
+        remaining_ns = self.request.parsed.deadline_ns - ATTEMPT_MARGIN_NS - self.host.now()
+        if remaining_ns <= 0:
+            return self.stream_response()
+        self.timer_wheel.start(self, remaining_ns / NS_PER_S, self.host.monotonic())
+        return True
+
+    def stream_response(self) -> bool:
+        """Begin the final answer with a response that flows; return whether that was possible."""
+        if self.connection is None or not self.connection.stream_response():
+            return False
+        if self.timer_wheel is not None and not self.ended:
+            self.timer_wheel.stop(self)
+            self._restart_stall_timer()
+        return True
+
     def _streaming(self) -> bool:
         return self.answer_began_ns > 0 or (self.upload is not None and not self.upload.ended)
 
--- a/dykefold/net/service/attempts.py
+++ b/dykefold/net/service/attempts.py
@@ -13,9 +13,9 @@
 from ..streaming import Upload
 from ..upstream.classify import HttpProfile, Response
 from ..upstream.connection_pool import ConnectionPool
-from .attempt import Attempt, AttemptsInFlight, announced_stream_time_ns
+from .attempt import ATTEMPT_MARGIN_NS, Attempt, AttemptsInFlight, announced_stream_time_ns
 from .pending_request import PendingRequest
-from .pending_requests import ATTEMPT_MARGIN_NS, PendingRequests
+from .pending_requests import PendingRequests
 from .protocols import AttemptRunnerHost
 
 # Replacement statuses for endpoints that act on partial bodies: they may have run the request nevertheless.
@@ -114,12 +114,13 @@
         return start_ns + request_class.window_ns - settings.tick_ns
 
     def cancel(self, action: Cancel) -> None:
-        """Cancel an attempt, unless it streams the body of the request or of the final answer."""
+        """Cancel an attempt, unless it streams the body of the request, or an answer has begun."""
         attempt = self.in_flight.get((action.id, action.attempt))
         if attempt is None:
             return
         request, upload = attempt.request, attempt.upload
-        streamed = request.streaming_answer or (upload is not None and upload.started)
+        uploads = upload is not None and upload.started
+        streamed = request.streaming_answer or uploads or attempt.response_flows
         # A streamed attempt of a pending request can't be retried: it runs to its end or to its time limit.
         if not (streamed and request.awaiting_answer):
             attempt.give_up(Status.CANCELLED)
--- a/dykefold/net/service/pending_requests.py
+++ b/dykefold/net/service/pending_requests.py
@@ -14,13 +14,11 @@
 from ..downstream.request_parser import ParsedRequest
 from ..upstream.classify import Response
 from ..upstream.exchange import UNREAD_RESPONSE_EXTENSION_S, Exchange
-from .attempt import AttemptsInFlight
+from .attempt import ATTEMPT_MARGIN_NS, AttemptsInFlight
 from .http_encoding import header_lines, retry_after
 from .pending_request import PendingRequest
 from .protocols import DescriptorReservations, PoolHost, RequestHost, ResponseSink
 
-# The last attempt is given up this long before the client's deadline.
-ATTEMPT_MARGIN_NS = 15 * NS_PER_MS
 # A request that still has no final answer gets one this long before its deadline.
 FALLBACK_MARGIN_NS = 8 * NS_PER_MS
 MIN_ERROR_CODE = 400  # HTTP status codes from this one on do not count as served
@@ -112,10 +110,15 @@
     # Final answers
 
     def answer_now(self, request: PendingRequest) -> None:
-        """Give the final answer now, unless an unread response of an endpoint waits in a socket."""
+        """Give the final answer now, unless an unread response of an endpoint waits in a socket.
+
+        A response that flows becomes the final answer, of which the rest follows.
+        """
         if not request.awaiting_answer:
             return
         attempts = list(self.attempts.of(request))
+        if any(attempt.stream_response() for attempt in attempts):
+            return
         unread_responses = [attempt.extend_for_unread_response() for attempt in attempts]
         if any(unread_responses):
             self.timer_wheel.stop(request)
--- a/dykefold/net/upstream/classify.py
+++ b/dykefold/net/upstream/classify.py
@@ -56,6 +56,11 @@
     return profile is HttpProfile.PLATFORM and code == HTTP_OK
 
 
+def is_success(code: int, profile: HttpProfile) -> bool:
+    """Return whether a response with a status code serves its request."""
+    return code == HTTP_OK or (profile is not HttpProfile.PLATFORM and code < HTTP_SERVER_ERROR)
+
+
 def classify(response: Response, profile: HttpProfile = HttpProfile.PLATFORM) -> Status:
     """Return the status of a request that got a complete response.
 
@@ -68,7 +73,7 @@
     Returns:
         `OK`, `FULL` if the request is known not to have run, or `ERROR` if it may have run.
     """
-    if response.code == HTTP_OK or (profile and response.code < HTTP_SERVER_ERROR):
+    if is_success(response.code, profile):
         return Status.OK
     if response.code in CODES_NOT_RUN and response.not_run:
         return Status.FULL
--- a/dykefold/net/upstream/connection.py
+++ b/dykefold/net/upstream/connection.py
@@ -40,6 +40,8 @@
 
 # A reused connection that breaks within this time after its request was written counts as dead before.
 DEAD_RESET_WINDOW_S = 0.05
+# Maximum time without a byte of a successful response of unknown length, which may turn out to be long.
+MAX_FLOW_STALL_S = 2.0
 # Value of `idle_since_s` before the first idle time; not None because each request reads that attribute.
 NEVER_IDLE_S = 0.0
 
@@ -130,6 +132,18 @@
         """Number of bytes that have been read for the exchange."""
         return self.reader.size
 
+    @property
+    def response_flows(self) -> bool:
+        """Whether a successful response of unknown length has begun and is being buffered."""
+        return self.exchange is not None and self.reader.flows
+
+    def stream_response(self) -> bool:
+        """Stream the response that flows; return whether it is streamed from now on."""
+        if self.exchange is None or not self.reader.stream_now():
+            return False
+        self._stop_stall_timer()
+        return True
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, and have it report whenever its write buffer is not empty."""
         self.transport = transport  # type: ignore[assignment]
@@ -257,16 +271,19 @@
         elif reader.streamed is None:
             if self.stall_timer is None:
                 self._start_stall_timer()
-        elif self.stall_timer is not None:  # The rest of a streamed response is awaited until the deadline.
-            self.stall_timer.cancel()
-            self.stall_timer = None
+        else:  # The timer of the exchange checks the progress of a streamed response.
+            self._stop_stall_timer()
 
     def _start_stall_timer(self) -> None:
         """Schedule the stall check: an incomplete response would otherwise be awaited until the deadline."""
         assert self.exchange is not None
-        self.stall_timer = self.resources.loop.call_later(
-            self.exchange.max_stall_s, self._check_stall, self.reader.size
-        )
+        max_stall_s = MAX_FLOW_STALL_S if self.reader.flows else self.exchange.max_stall_s
+        self.stall_timer = self.resources.loop.call_later(max_stall_s, self._check_stall, self.reader.size)
+
+    def _stop_stall_timer(self) -> None:
+        if self.stall_timer is not None:
+            self.stall_timer.cancel()
+            self.stall_timer = None
 
     def _check_stall(self, before: int) -> None:
         """Fail the exchange if no byte was read beyond the first `before` bytes."""
@@ -366,9 +383,7 @@
 
     def _release(self) -> None:
         """Release the stall timer and the buffers of the response."""
-        if self.stall_timer is not None:
-            self.stall_timer.cancel()
-            self.stall_timer = None
+        self._stop_stall_timer()
         self.reader.release()
         self.unparsed = None
 
--- a/dykefold/net/upstream/protocols.py
+++ b/dykefold/net/upstream/protocols.py
@@ -37,6 +37,15 @@
         """Whether the last byte of the exchange is not written yet, so that the request cannot have run."""
         ...
 
+    @property
+    def response_flows(self) -> bool:
+        """Whether a successful response of unknown length has begun and is being buffered."""
+        ...
+
+    def stream_response(self) -> bool:
+        """Stream the response that flows; return whether it is streamed from now on."""
+        ...
+
     def set_paused(self, on: bool) -> None:
         """Pause (`on`) or resume reading."""
         ...
--- a/dykefold/net/upstream/response_reader.py
+++ b/dykefold/net/upstream/response_reader.py
@@ -17,7 +17,7 @@
     head_memory_bytes,
 )
 from ..memory_budget import MemoryBudget
-from .classify import HTTP_OK, HTTP_SERVER_ERROR, HttpProfile, Response
+from .classify import HTTP_OK, HTTP_SERVER_ERROR, HttpProfile, Response, is_success
 from .http_fields import BLANKS, HOP_BY_HOP, gather
 from .protocols import ResponseConsumer
 
@@ -144,6 +144,26 @@
         self.response = Response(code, self.headers, bytes(self.body), self.not_run, self.load)
         return True
 
+    @property
+    def flows(self) -> bool:
+        """Whether a successful response of unknown length has begun and is being buffered.
+
+        It may turn out to be long, and then only its first bytes have to be in time (DAYS, hard days).
+        """
+        if not self.in_body or self.length or self.streamed is not None or self.unusable:
+            return False
+        consumer = self.consumer
+        return (
+            self.response is None
+            and consumer is not None
+            and consumer.max_streamed_bytes > 0
+            and is_success(self.parser.get_status_code(), consumer.profile)
+        )
+
+    def stream_now(self) -> bool:
+        """Stream a response that was buffered so far; return whether it is streamed from now on."""
+        return self.flows and self._stream_buffered(None)
+
     def release(self) -> None:
         """Release the memory of the response."""
         if self.body_size or self.head_size:
@@ -270,11 +290,8 @@
             self._forward(data)
             return
         if consumer.max_streamed_bytes and self.body_size + len(data) > consumer.max_response_bytes:
-            if self._stream(None):
-                self._forward(self.body)
+            if self._stream_buffered(None):
                 self._forward(data)
-                self.memory.release(self.body_size)
-                self.body_size, self.body = 0, b""
             else:
                 self.unusable = True
             return
@@ -284,6 +301,16 @@
         self.body_size += len(data)
         self.body = gather(self.body, data)
 
+    def _stream_buffered(self, length: int | None) -> bool:
+        """Begin to stream the response with the part that is buffered; return whether that is possible."""
+        if not self._stream(length):
+            return False
+        if self.body:
+            self._forward(self.body)
+        self.memory.release(self.body_size)
+        self.body_size, self.body = 0, b""
+        return True
+
     def on_message_complete(self) -> None:
         """Complete the response, unless the message is an interim response."""
         if self.response is not None:
--- a/tests/net/test_response_reader.py
+++ b/tests/net/test_response_reader.py
@@ -120,3 +120,34 @@
     assert reader.feed(HEAD + b"Content-Length: 100\r\n\r\n" + b"a" * 40)
     reader.feed(b"b" * 60)
     assert consumer.pieces == [b"a" * 40]
+
+
+def test_response_of_unknown_length_can_be_streamed_before_it_is_long():
+    """Guards against answers that flow, and are given up at the deadline since their length is unknown."""
+    consumer = FakeConsumer(max_streamed_bytes=1000)
+    reader = make_reader(consumer)
+    assert not reader.stream_now()
+    assert reader.feed(HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+    assert reader.flows
+    assert reader.stream_now()
+    assert not reader.flows
+    assert reader.memory.reserved_bytes == 0
+    assert reader.feed(b"2\r\nde\r\n0\r\n\r\n")
+    assert consumer.begin_calls == [(200, [], None, b"")]
+    assert b"".join(consumer.pieces) == b"abcde"
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        HEAD + b"Content-Length: 5\r\n\r\nabc",
+        b"HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n",
+    ],
+    ids=["short", "failed", "incomplete head"],
+)
+def test_other_responses_do_not_flow(head):
+    reader = make_reader(FakeConsumer(max_streamed_bytes=1000))
+    assert reader.feed(head)
+    assert not reader.flows
+    assert not reader.stream_now()
