Answers that find no memory to be buffered are streamed instead of being cut off

Callers: while a crowd had taken the memory for messages, sound answers to other clients were cut off, and their requests failed or were sent to the next server in vain.

Cause: a buffered answer that could not reserve memory was treated as unusable. Streaming it needs none.

Two tests of the reader fail without the change and pass with it.

--- a/dykefold/net/upstream/response_reader.py
+++ b/dykefold/net/upstream/response_reader.py
@@ -289,17 +289,14 @@
         if self.streamed is not None:
             self._forward(data)
             return
-        if consumer.max_streamed_bytes and self.body_size + len(data) > consumer.max_response_bytes:
-            if self._stream_buffered(None):
-                self._forward(data)
-            else:
-                self.unusable = True
-            return
-        if not self.memory.reserve(len(data)):
+        is_long = consumer.max_streamed_bytes > 0 and self.body_size + len(data) > consumer.max_response_bytes
+        if not is_long and self.memory.reserve(len(data)):
+            self.body_size += len(data)
+            self.body = gather(self.body, data)
+        elif consumer.max_streamed_bytes and self._stream_buffered(int(self.length) if self.length else None):
+            self._forward(data)
+        else:
             self.unusable = True
-            return
-        self.body_size += len(data)
-        self.body = gather(self.body, data)
 
     def _stream_buffered(self, length: int | None) -> bool:
         """Begin to stream the response with the part that is buffered; return whether that is possible."""
--- a/tests/net/test_response_reader.py
+++ b/tests/net/test_response_reader.py
@@ -151,3 +151,19 @@
     assert reader.feed(head)
     assert not reader.flows
     assert not reader.stream_now()
+
+
+@pytest.mark.parametrize(
+    ("framing", "length"), [(b"Content-Length: 5\r\n\r\n", 5), (b"Connection: close\r\n\r\n", None)]
+)
+def test_response_that_finds_no_memory_is_streamed(framing, length):
+    """Guards against sound answers that are cut off since other clients have taken the memory."""
+    consumer = FakeConsumer(max_streamed_bytes=1000)
+    reader = make_reader(consumer)
+    reader.memory.capacity_bytes = 2
+    assert reader.feed(HEAD + framing + b"ab")
+    assert not consumer.pieces
+    assert reader.feed(b"cde")
+    assert consumer.begin_calls == [(200, [], length, b"")]
+    assert b"".join(consumer.pieces) == b"abcde"
+    assert reader.memory.reserved_bytes == 0
