Deadlines of large bodies count from the client's last byte, also while input is paused

Cause: the deadline of a streamed body started when the sidecar had read its last byte, or at the last of its pauses. While it does not read, the rest waits in the kernels of both machines; the client has sent it long before. A body that no server read had no deadline at all.

Change: the arrival of a body is observed at each pause, at each resume and every 0.1 s. From the counts follows the latest time at which the client can't have sent all: with room in the receive buffer nothing waits at the client.

--- a/dykefold/net/downstream/protocols.py
+++ b/dykefold/net/downstream/protocols.py
@@ -147,3 +147,7 @@
     def resume(self) -> None:
         """Resume reading, unless too much is still queued."""
         ...
+
+    def observe_arrival(self) -> None:
+        """Record how many bytes have arrived and are not parsed yet."""
+        ...
--- a/dykefold/net/downstream/request_assembler.py
+++ b/dykefold/net/downstream/request_assembler.py
@@ -351,7 +351,10 @@
         if (length or self._body_bytes) > request.max_body_bytes:
             self.reject(413, "the body is too large")
         elif self._reserve(max(UPLOAD_HIGH_WATER_BYTES - self._message_reserved_bytes, 0)):
-            self.upload = request.upload = Upload(length, bytes(self._body), self._input.resume)
+            began_ns = self.arrived_ns or self._server.now()
+            self.upload = request.upload = Upload(
+                length, bytes(self._body), self._input.resume, began_ns, self._input.observe_arrival
+            )
             self._body = b""
             self.max_message_bytes = MAX_HEADERS_BYTES + MAX_FRAMING_FACTOR * request.max_body_bytes
             self._release_unfinished()
--- a/dykefold/net/downstream/request_reader.py
+++ b/dykefold/net/downstream/request_reader.py
@@ -138,15 +138,15 @@
         if not self.paused and self.transport is not None:
             self.paused = True
             self.transport.pause_reading()
-            self._count_unread()
+            self.observe_arrival()
             if self.assembler.upload is not None:
-                self.assembler.upload.paused_ns = self._server.now()
+                self.assembler.upload.set_paused(True, self._server.now())
 
     def resume(self) -> None:
         """Resume reading, first from `unparsed`, unless too much is still queued."""
         if not self.paused:
             return
-        self._count_unread()
+        self.observe_arrival()
         if self._is_full() and not self.assembler.discarding_input:
             return
         if self.unparsed is not None:
@@ -157,15 +157,20 @@
             self.paused = False
             self.transport.resume_reading()
             if self.assembler.upload is not None:
-                self.assembler.upload.resumed_ns = self._server.now()
+                self.assembler.upload.set_paused(False, self._server.now())
 
-    def _count_unread(self) -> None:
+    def observe_arrival(self) -> None:
         """Record how many unparsed bytes have arrived; deadlines of the requests in them count from now."""
-        if self.transport is not None and not self.transport.is_closing():
-            sock = self.transport.get_extra_info("socket")
-            in_kernel_bytes = self._server.system.unread_byte_count(sock) if sock is not None else 0
-            unparsed_bytes = len(self.unparsed) if self.unparsed is not None else 0
-            self._arrivals.record_count(self._server.now(), unparsed_bytes + in_kernel_bytes)
+        if self.transport is None or self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info("socket")
+        unread_bytes = self._server.system.unread_byte_count(sock) if sock is not None else 0
+        unparsed_bytes = len(self.unparsed) if self.unparsed is not None else 0
+        now_ns = self._server.now()
+        if self.paused:
+            self._arrivals.record_count(now_ns, unparsed_bytes + unread_bytes)
+        if self.assembler.upload is not None:
+            self.assembler.upload.observe_arrival(now_ns, unparsed_bytes, unread_bytes)
 
     def _is_full(self) -> bool:
         """Return whether so much is queued that reading must pause."""
--- a/dykefold/net/service/pending_request.py
+++ b/dykefold/net/service/pending_request.py
@@ -13,8 +13,8 @@
 class RequestTimeLimits(Protocol):
     """Handles the time limits of pending requests."""
 
-    def answer_now(self, request: PendingRequest) -> None:
-        """Give the final answer: the deadline is near."""
+    def on_timer(self, request: PendingRequest) -> None:
+        """Give the final answer if the deadline is near."""
         ...
 
     def start_deadline(self, request: PendingRequest) -> None:
@@ -83,8 +83,8 @@
         self.error_response: Response | None = None
 
     def expire(self) -> None:
-        """Give the final answer now: the deadline is near."""
-        self.time_limits.answer_now(self)
+        """Handle the timer: the deadline is near, or the arrival of the body has to be observed."""
+        self.time_limits.on_timer(self)
 
     def on_body_complete(self) -> None:
         """Start the deadline, which counts from the last byte of the body (PROTOCOL, figures)."""
--- a/dykefold/net/service/pending_requests.py
+++ b/dykefold/net/service/pending_requests.py
@@ -12,6 +12,7 @@
 from ...balancer.events import ClientDisconnected, Request, Status
 from ..clock import NS_PER_MS, NS_PER_S
 from ..downstream.request_parser import ParsedRequest
+from ..streaming import Upload
 from ..upstream.classify import Response
 from ..upstream.exchange import UNREAD_RESPONSE_EXTENSION_S, Exchange
 from .attempt import ATTEMPT_MARGIN_NS, AttemptsInFlight
@@ -21,6 +22,8 @@
 
 # A request that still has no final answer gets one this long before its deadline.
 FALLBACK_MARGIN_NS = 8 * NS_PER_MS
+# Interval between observations of a body that is arriving.
+ARRIVAL_CHECK_S = 0.1
 MIN_ERROR_CODE = 400  # HTTP status codes from this one on do not count as served
 
 
@@ -68,6 +71,7 @@
         self.by_id[request.id] = request
         if parsed.upload is not None and not parsed.upload.ended:
             parsed.upload.on_complete = request.on_body_complete
+            self.timer_wheel.start(request, ARRIVAL_CHECK_S, self.monotonic())
         else:
             if parsed.upload is not None:
                 parsed.deadline_ns = parsed.upload.completed_ns + parsed.wait_ns
@@ -99,6 +103,7 @@
         parsed = request.parsed
         assert parsed.upload is not None
         parsed.deadline_ns = parsed.upload.completed_ns + parsed.wait_ns
+        self.timer_wheel.stop(request)
         self._start_fallback_timer(request)
         remaining_ns = parsed.deadline_ns - self.clock.now()
         for attempt in self.attempts.of(request):
@@ -109,6 +114,24 @@
 
     # Final answers
 
+    def on_timer(self, request: PendingRequest) -> None:
+        """Give the final answer, unless the client is still sending the body."""
+        upload = request.parsed.upload
+        if upload is None or upload.ended or not self._await_body(request, upload):
+            self.answer_now(request)
+
+    def _await_body(self, request: PendingRequest, upload: Upload) -> bool:
+        """Restart the timer if the client is still sending, or has time left; return whether it is so."""
+        if upload.observe is not None:
+            upload.observe()
+        now_s = self.monotonic()
+        due_ns = upload.unfinished_ns + request.parsed.wait_ns - FALLBACK_MARGIN_NS
+        remaining_s = (due_ns - self.clock.from_monotonic(now_s)) / NS_PER_S
+        if remaining_s <= 0:
+            return False
+        self.timer_wheel.start(request, min(remaining_s, ARRIVAL_CHECK_S), now_s)
+        return True
+
     def answer_now(self, request: PendingRequest) -> None:
         """Give the final answer now, unless an unread response of an endpoint waits in a socket.
 
--- a/dykefold/net/streaming.py
+++ b/dykefold/net/streaming.py
@@ -14,6 +14,10 @@
 UPLOAD_HIGH_WATER_BYTES = 64 * 1024
 # The bytes that the kernel buffered during a pause are read within this time after reading resumes.
 SOCKET_READ_NS = 50_000_000
+# With fewer unread bytes the receive buffer has room, and nothing waits in the kernel of the client.
+MIN_FULL_RECEIVE_BUFFER_BYTES = 16 * 1024
+# Maximum bytes that a client may have written and that wait in its kernel (tcp(7), tcp_wmem).
+MAX_CLIENT_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 # Maximum bytes on the wire for each byte of a chunked body, buffered or streamed.
 MAX_FRAMING_FACTOR = 8
 
@@ -43,6 +47,8 @@
         length: Length of the body in bytes, by its Content-Length; None for a chunked body.
         prefix: First bytes of the body, which have been read already.
         on_drain: Callback for when fewer than `UPLOAD_HIGH_WATER_BYTES` bytes wait again.
+        began_ns: Time at which the head of the request arrived, nanoseconds of `Clock`.
+        observe: Callback that calls `observe_arrival` with the present counts; None if there is none.
 
     Attributes:
         buffered: Pieces of the body that wait for the endpoint.
@@ -51,7 +57,8 @@
         sent: Whether the last byte has been written to the endpoint's connection.
         forwarded_bytes: Number of bytes of the body that have been written to the endpoint's connection.
         completed_ns: Time at which the client sent the last byte, nanoseconds of `Clock`; 0 before.
-        paused_ns: Time at which reading was last paused, nanoseconds of `Clock`; 0 if it never was.
+        unfinished_ns: Latest time at which the client had not sent all yet, nanoseconds of `Clock`.
+        paused: Whether reading is paused.
         resumed_ns: Time at which reading was last resumed, nanoseconds of `Clock`; 0 if it never was.
         on_complete: Callback for when the last byte has been read from the client.
         rejection: Code and text of the response if the rest of the body can't be read.
@@ -64,19 +71,28 @@
         "completed_ns",
         "forwarded_bytes",
         "length",
+        "observe",
         "on_complete",
         "on_drain",
-        "paused_ns",
+        "paused",
         "rejection",
         "resumed_ns",
         "sent",
         "sink",
         "started",
         "stop",
+        "unfinished_ns",
         "waiting_bytes",
     )
 
-    def __init__(self, length: int | None, prefix: bytes, on_drain: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        length: int | None,
+        prefix: bytes,
+        on_drain: Callable[[], None],
+        began_ns: int = 0,
+        observe: Callable[[], None] | None = None,
+    ) -> None:
         self.length = length
         self.buffered: list[bytes] = [prefix] if prefix else []
         self.waiting_bytes = len(prefix)
@@ -84,7 +100,10 @@
         self.on_complete: Callable[[], None] | None = None
         self.started = self.sent = False
         self.forwarded_bytes = 0
-        self.completed_ns = self.paused_ns = self.resumed_ns = 0
+        self.completed_ns = self.resumed_ns = 0
+        self.unfinished_ns = began_ns
+        self.observe = observe
+        self.paused = False
         self.rejection: tuple[int, bytes] | None = None
         self.sink: Sink | None = None
         self.stop: Callable[[], None] | None = None
@@ -105,19 +124,46 @@
         """Whether the last byte has been read from the client."""
         return self.completed_ns > 0
 
+    def observe_arrival(self, now_ns: int, unparsed_bytes: int, unread_bytes: int) -> None:
+        """Record how much of the body has arrived; called from time to time while it arrives.
+
+        The client's deadline counts from the moment at which its kernel accepted the last byte, which can't
+        be observed: while the receive buffer is full, any part of the rest may wait in the client's kernel.
+
+        Args:
+            now_ns: Current time, nanoseconds of `Clock`.
+            unparsed_bytes: Number of bytes that were read and not parsed yet.
+            unread_bytes: Number of bytes that wait in the kernel's receive buffer.
+        """
+        if self.length is None:
+            unfinished = not unparsed_bytes and not unread_bytes  # The end may be anywhere in these bytes.
+        else:
+            received_bytes = self.forwarded_bytes + self.waiting_bytes
+            missing_bytes = self.length - received_bytes - unparsed_bytes - unread_bytes
+            held_back_bytes = (
+                MAX_CLIENT_SEND_BUFFER_BYTES if unread_bytes >= MIN_FULL_RECEIVE_BUFFER_BYTES else 0
+            )
+            unfinished = missing_bytes > held_back_bytes
+        if unfinished:
+            self.unfinished_ns = now_ns
+
+    def set_paused(self, on: bool, now_ns: int) -> None:
+        """Record that reading from the client pauses (`on`) or resumes."""
+        self.paused = on
+        if not on:
+            self.resumed_ns = now_ns
+
     def finish(self, now_ns: int) -> None:
         """Record that the body is complete, and forward its last byte if possible.
 
-        The client's deadline counts from its last byte. Bytes that are read soon after a pause are taken to
-        have arrived before the pause, since they fitted in the kernel's buffer; then the deadline counts
-        from the beginning of the pause.
+        The client's deadline counts from its last byte. Bytes that are read during a pause or soon after it
+        may have been sent long before; then the deadline counts from `unfinished_ns`.
 
         Args:
             now_ns: Current time, nanoseconds of `Clock`.
         """
-        paused = self.resumed_ns < self.paused_ns
-        arrived_before_pause = self.paused_ns and (paused or now_ns - self.resumed_ns < SOCKET_READ_NS)
-        self.completed_ns = self.paused_ns if arrived_before_pause else now_ns
+        read_late = self.paused or now_ns - self.resumed_ns < SOCKET_READ_NS
+        self.completed_ns = min(self.unfinished_ns, now_ns) if read_late and self.unfinished_ns else now_ns
         if self.on_complete is not None:  # sets the deadline, checked before the last byte is written
             self.on_complete()
         self.flow()
