Memory: reads are bounded, and what clients and servers do not read is paid for

A body was held twice: 64 KiB that waited, and as much in the transport of a server that did not read.

Change: receive buffers of sockets are 16 KiB (servers) and 32 KiB (clients), so a read is short. Unsent answers and unparsed input are charged to the memory budget, whatever is left of it. An upload counts what its transport holds.

Two new tests of the parts fail without the change.

--- a/dykefold/admission/listener.py
+++ b/dykefold/admission/listener.py
@@ -30,6 +30,7 @@
 LOG_INTERVAL_S = 10.0  # Between two log lines about failures.
 MAX_BACKLOG_TURNS = 64  # Accept rounds of a closing listener: these cover twice the kernel queue.
 SEND_BUFFER_BYTES = 128 * 1024  # Of each client socket; small enough to detect that a slow client reads.
+RECEIVE_BUFFER_BYTES = 32 * 1024  # Of each client socket; bounds the bytes that one read returns.
 
 
 class AcceptResult(Enum):
@@ -79,8 +80,9 @@
         self.rejections = Rejections(loop, self._on_rejection_closed)
         self.reserve.open()
         sock.setblocking(False)
-        # Accepted sockets inherit this option.
+        # Accepted sockets inherit these options.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         loop.add_reader(sock.fileno(), self._on_readable)
 
     @property
--- a/dykefold/net/downstream/connection.py
+++ b/dykefold/net/downstream/connection.py
@@ -75,7 +75,7 @@
         self.lifecycle = ConnectionLifecycle()
         self.reader = RequestReader(handler, client, self.lifecycle, self)
         self.assembler = self.reader.assembler
-        self.writer = ResponseWriter(handler.loop, self.close)
+        self.writer = ResponseWriter(handler.loop, handler.memory, self.close)
         self.transport: asyncio.Transport | None = None
         self.close_detector = CloseDetector(handler.system)
         self.current: ParsedRequest | None = None
--- a/dykefold/net/downstream/protocols.py
+++ b/dykefold/net/downstream/protocols.py
@@ -138,7 +138,13 @@
 
 
 class InputControl(Protocol):
-    """The reader as the assembler sees it: it pauses while too much is queued."""
+    """The reader as the assembler sees it: it pauses while too much is queued.
+
+    Attributes:
+        paused: Whether reading is paused.
+    """
+
+    paused: bool
 
     def pause(self) -> None:
         """Stop reading from the socket."""
--- a/dykefold/net/downstream/request_assembler.py
+++ b/dykefold/net/downstream/request_assembler.py
@@ -355,6 +355,7 @@
             self.upload = request.upload = Upload(
                 length, bytes(self._body), self._input.resume, began_ns, self._input.observe_arrival
             )
+            self.upload.paused = self._input.paused
             self._body = b""
             self.max_message_bytes = MAX_HEADERS_BYTES + MAX_FRAMING_FACTOR * request.max_body_bytes
             self._release_unfinished()
@@ -370,7 +371,7 @@
             self._fail_upload(upload, 413, "the body is too large")
             return
         upload.feed(data)
-        if upload.full:
+        if upload.must_pause():
             self._input.pause()
 
     def discard_input(self) -> None:
--- a/dykefold/net/downstream/response_writer.py
+++ b/dykefold/net/downstream/response_writer.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+from ..memory_budget import MemoryBudget
 from .protocols import FlowControlled
 
 MAX_STALL_S = 5.0  # A client that reads no byte of a response for this long is disconnected.
@@ -22,6 +23,7 @@
 
     Args:
         loop: Event loop that runs the timers.
+        memory: Budget of the bytes that the client has not read and the kernel has not accepted.
         close: Callback without arguments for a client that has read nothing, or has not closed, in time.
 
     Attributes:
@@ -37,7 +39,9 @@
         "_close",
         "_final_chunk",
         "_loop",
+        "_memory",
         "_timer",
+        "_unsent_bytes",
         "keep_alive",
         "linger_s",
         "source",
@@ -45,8 +49,12 @@
         "unread",
     )
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, close: Callable[[], None]) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, memory: MemoryBudget, close: Callable[[], None]
+    ) -> None:
         self._loop = loop
+        self._memory = memory
+        self._unsent_bytes = 0  # charged to the budget
         self._close = close
         self._final_chunk: bytes | None = None  # Ends the streamed response; None if it is not chunked.
         self._timer: asyncio.TimerHandle | None = None
@@ -60,6 +68,16 @@
         """Write data, unless the sending side of the connection is closed."""
         if self.transport is not None and not self.linger_s and not self.transport.is_closing():
             self.transport.write(data)
+            if self.unread:
+                self._account_unsent()
+
+    def _account_unsent(self) -> None:
+        """Charge the bytes in the transport's buffer to the budget."""
+        unsent_bytes = 0
+        if self.unread and self.transport is not None:
+            unsent_bytes = self.transport.get_write_buffer_size()
+        self._memory.charge(unsent_bytes - self._unsent_bytes)
+        self._unsent_bytes = unsent_bytes
 
     def respond(
         self, code: int, headers: bytes, body: bytes, keep_alive: bool, is_head: bool = False
@@ -116,6 +134,7 @@
     def pause(self) -> None:
         """Pause the source, since the transport could not send all written data."""
         self.unread = True
+        self._account_unsent()
         if self.source is not None:
             self.source.set_paused(True)
         if self._timer is None:
@@ -124,6 +143,7 @@
     def resume(self) -> None:
         """Resume the source, since all written data has been sent."""
         self.unread = False
+        self._account_unsent()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -170,6 +190,8 @@
         """Cancel the timer, and clear all references that lead back to the connection."""
         if self._timer is not None:
             self._timer.cancel()
+        self.unread = False
+        self._account_unsent()
         self.source = None
         del self._close
 
--- a/dykefold/net/memory_budget.py
+++ b/dykefold/net/memory_budget.py
@@ -57,6 +57,10 @@
         self.reserved_bytes += size
         return True
 
+    def charge(self, size: int) -> None:
+        """Reserve bytes that are held already, also beyond the budget; others then find no capacity."""
+        self.reserved_bytes += size
+
     def release(self, size: int) -> None:
         """Release bytes that were reserved."""
         self.reserved_bytes -= size
--- a/dykefold/net/streaming.py
+++ b/dykefold/net/streaming.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-# Reading of an upload pauses while at least this many bytes wait for its endpoint.
+# Reading of an upload pauses while at least this many bytes are held for its endpoint.
 UPLOAD_HIGH_WATER_BYTES = 64 * 1024
 # The bytes that the kernel buffered during a pause are read within this time after reading resumes.
 SOCKET_READ_NS = 50_000_000
@@ -31,6 +31,10 @@
 
     unwritten: bool
 
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that wait to be written to the socket."""
+        ...
+
     def write(self, data: bytes) -> None:
         """Write the next bytes of the body."""
         ...
@@ -46,7 +50,7 @@
     Args:
         length: Length of the body in bytes, by its Content-Length; None for a chunked body.
         prefix: First bytes of the body, which have been read already.
-        on_drain: Callback for when fewer than `UPLOAD_HIGH_WATER_BYTES` bytes wait again.
+        on_drain: Callback for when fewer than `UPLOAD_HIGH_WATER_BYTES` bytes are held again.
         began_ns: Time at which the head of the request arrived, nanoseconds of `Clock`.
         observe: Callback that calls `observe_arrival` with the present counts; None if there is none.
 
@@ -67,6 +71,7 @@
     """
 
     __slots__ = (
+        "_drain_awaited",
         "buffered",
         "completed_ns",
         "forwarded_bytes",
@@ -104,6 +109,7 @@
         self.unfinished_ns = began_ns
         self.observe = observe
         self.paused = False
+        self._drain_awaited = False
         self.rejection: tuple[int, bytes] | None = None
         self.sink: Sink | None = None
         self.stop: Callable[[], None] | None = None
@@ -111,7 +117,15 @@
     @property
     def full(self) -> bool:
         """Whether reading from the client must pause."""
-        return self.waiting_bytes >= UPLOAD_HIGH_WATER_BYTES
+        held_bytes = self.waiting_bytes
+        if self.sink is not None and self.sink.unwritten:
+            held_bytes += self.sink.unsent_bytes()
+        return held_bytes >= UPLOAD_HIGH_WATER_BYTES
+
+    def must_pause(self) -> bool:
+        """Return whether reading must pause; `on_drain` is called once it may go on."""
+        self._drain_awaited = self.full
+        return self._drain_awaited
 
     def feed(self, data: bytes) -> None:
         """Accept the next bytes of the body, and forward as much as the endpoint accepts."""
@@ -212,14 +226,14 @@
         sink = self.sink
         if sink is None or sink.unwritten or self.sent:
             return
-        was_full = self.full
         self._forward(sink)
         if self.ended and not sink.unwritten and sink.may_send_last_byte():
             self.sent = True
             last, self.buffered, self.waiting_bytes = b"".join(self.buffered), [], 0
             self.forwarded_bytes += len(last)
             sink.write(last if self.length is not None else b"0\r\n\r\n")
-        if was_full and not self.full:
+        if self._drain_awaited and not self.full:
+            self._drain_awaited = False
             self.on_drain()
 
     def _forward(self, sink: Sink) -> None:
--- a/dykefold/net/upstream/connection.py
+++ b/dykefold/net/upstream/connection.py
@@ -201,12 +201,16 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes of the exchange that the kernel has not accepted yet."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
     def transferred_bytes(self) -> int:
         """Return the number of bytes read for the exchange, plus those of its body accepted by the kernel."""
         exchange = self.exchange
         if exchange is None or exchange.upload is None or self.transport is None:
             return self.reader.size
-        return self.reader.size + exchange.upload.forwarded_bytes - self.transport.get_write_buffer_size()
+        return self.reader.size + exchange.upload.forwarded_bytes - self.unsent_bytes()
 
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes: immediately, or in slices if that would block the event loop."""
@@ -218,9 +222,16 @@
             return
         assert self.transport is not None
         self.transport.pause_reading()
-        self.unparsed = memoryview(data)
+        self._set_unparsed(memoryview(data))
         self._schedule()
 
+    def _set_unparsed(self, unparsed: memoryview | None) -> None:
+        """Replace the bytes that wait to be parsed, and charge the difference to the memory budget."""
+        before = len(self.unparsed) if self.unparsed is not None else 0
+        after = len(unparsed) if unparsed is not None else 0
+        self.resources.memory.charge(after - before)
+        self.unparsed = unparsed
+
     def _schedule(self) -> None:
         if not self.scheduled:
             self.scheduled = True
@@ -232,9 +243,10 @@
             self.scheduled = False
             return False
         if self.reader.expects_only_body(len(self.unparsed)):
-            data, self.unparsed = bytes(self.unparsed), None
+            data, rest = bytes(self.unparsed), None
         else:
-            data, self.unparsed = split_slice(self.unparsed)
+            data, rest = split_slice(self.unparsed)
+        self._set_unparsed(rest)
         more = self.unparsed is not None
         self._feed(data, more)
         if not more and not self.closed and not self.blocked and self.transport is not None:
@@ -385,7 +397,7 @@
         """Release the stall timer and the buffers of the response."""
         self._stop_stall_timer()
         self.reader.release()
-        self.unparsed = None
+        self._set_unparsed(None)
 
     def _fail(self, error: Exception | None = None) -> None:
         """Close the connection, and end its exchange without a response; `error` is the cause, if known."""
--- a/dykefold/net/upstream/connector.py
+++ b/dykefold/net/upstream/connector.py
@@ -20,8 +20,8 @@
 from .exchange import Exchange
 from .protocols import ConnectingOwner
 
-# Bounds the bytes that one read returns, and the memory that a slow client occupies.
-RECEIVE_BUFFER_BYTES = 128 * 1024
+# Bounds the bytes that one read returns, and so the memory that a slow client occupies.
+RECEIVE_BUFFER_BYTES = 16 * 1024
 # If the event loop runs a timeout later than this, it can't tell whether the connect was in time.
 MAX_LOOP_LAG_S = 0.02
 
--- a/tests/net/test_connection_parts.py
+++ b/tests/net/test_connection_parts.py
@@ -16,7 +16,8 @@
 from dykefold.net.downstream.request_parser import ParsedRequest, RequestError
 from dykefold.net.downstream.request_reader import RequestReader
 from dykefold.net.downstream.response_writer import ResponseWriter
-from dykefold.net.memory_budget import MemoryBudget
+from dykefold.net.memory_budget import MB, MemoryBudget
+from dykefold.net.streaming import UPLOAD_HIGH_WATER_BYTES, Upload
 
 GET = b"GET /lookup/part HTTP/1.1\r\nX-Request-Id: one\r\nConnection: keep-alive\r\n\r\n"
 POST = b"POST /order HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello"
@@ -240,7 +241,7 @@
 
 def make_writer():
     closed = []
-    writer = ResponseWriter(Loop(), lambda: closed.append(True))
+    writer = ResponseWriter(Loop(), MemoryBudget(MB), lambda: closed.append(True))
     writer.transport = Transport()
     return writer, closed
 
@@ -362,3 +363,44 @@
         gc.enable()
     assert server.lost == (server.accepted or [None])
     assert not server.memory.reserved_bytes
+
+
+def test_writer_charges_what_a_client_does_not_read():
+    """Guards against slow readers whose unread answers take the process over its memory limit."""
+    writer, _ = make_writer()
+    memory = writer._memory
+    unsent_bytes = 0
+    writer.transport.get_write_buffer_size = lambda: unsent_bytes
+    unsent_bytes = 2 * MB  # More than the budget has: the bytes are held in any case.
+    writer.pause()
+    assert memory.reserved_bytes == 2 * MB
+    assert not memory.reserve(1)
+    unsent_bytes += 10
+    writer.send_piece(b"0123456789")
+    assert memory.reserved_bytes == 2 * MB + 10
+    unsent_bytes = 0
+    writer.resume()
+    assert memory.reserved_bytes == 0
+    unsent_bytes = 7
+    writer.pause()
+    writer.detach()
+    assert memory.reserved_bytes == 0
+
+
+def test_upload_is_full_of_what_its_endpoint_does_not_read():
+    """Guards against bodies that are held twice: waiting, and in the transport of a slow server."""
+    drained = []
+    upload = Upload(4 * UPLOAD_HIGH_WATER_BYTES, b"", lambda: drained.append(True))
+    sink = SimpleNamespace(
+        unwritten=False, unsent_bytes=lambda: unsent_bytes, write=lambda data: None, may_send_last_byte=bool
+    )
+    upload.attach(sink, lambda: None)
+    sink.unwritten, unsent_bytes = True, UPLOAD_HIGH_WATER_BYTES - 10
+    upload.feed(b"123456789")
+    assert not upload.must_pause()
+    upload.feed(b"x")
+    assert upload.must_pause()
+    assert not drained
+    sink.unwritten, unsent_bytes = False, 0
+    upload.flow()
+    assert drained == [True]
