Soak: a broken connection of a client ends its request, and a run has a time limit

A run hung for 20 minutes: uvloop raises RuntimeError for a write on a transport that has closed, the run ended with it, and its other clients went on for ever. By reading; the hung run's sidecar had ended and its clients were polling. Broken connections are results now, and a run ends after 90 s with an error.

--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -15,6 +15,8 @@
 ANSWER_TIMEOUT_S = 8.0  # A request without a final answer for this long after its time has none.
 STREAM_LIMIT_BYTES = 64 * KB
 SMALL_RECEIVE_BUFFER_BYTES = 8 * KB
+# RuntimeError: uvloop raises it for a write on a transport that was closed in the meantime.
+BROKEN_CONNECTION = (OSError, EOFError, RuntimeError, asyncio.LimitOverrunError)
 
 
 @dataclass(slots=True)
@@ -82,16 +84,15 @@
         reading = asyncio.ensure_future(self._read(outcome))
         writing = asyncio.ensure_future(self._write(outcome))
         try:
-            await asyncio.wait([writing, reading], return_when=asyncio.FIRST_COMPLETED)
-            if not reading.done() and not writing.done():
-                await writing
             timeout_s = (
                 plan.wait_s + ANSWER_TIMEOUT_S + (plan.server.size / plan.read_rate if plan.read_rate else 0)
             )
-            await asyncio.wait_for(reading, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await asyncio.wait([writing, reading], return_when=asyncio.FIRST_COMPLETED)
+                await reading
         except TimeoutError:
             outcome.problem = "no whole answer in time"
-        except (OSError, EOFError, ValueError, asyncio.LimitOverrunError) as error:
+        except (*BROKEN_CONNECTION, ValueError) as error:
             outcome.problem = f"connection ended: {type(error).__name__}"
         finally:
             for task in (reading, writing):
@@ -155,7 +156,7 @@
     async def read_until_closed(self, timeout_s: float) -> None:
         """Read and drop what comes, until the sidecar closes or the time is up."""
         assert self._reader is not None
-        with contextlib.suppress(OSError, TimeoutError):
+        with contextlib.suppress(*BROKEN_CONNECTION, TimeoutError):
             async with asyncio.timeout(timeout_s):
                 while await self._reader.read(4 * KB):
                     pass
@@ -174,7 +175,7 @@
     try:
         await connection.open(SMALL_RECEIVE_BUFFER_BYTES if plan.read_rate else 0)
         return await connection.ask(plan)
-    except OSError as error:
+    except BROKEN_CONNECTION as error:
         return Outcome(new_id(), plan, problem=f"not connected: {type(error).__name__}")
     finally:
         connection.close()
@@ -220,7 +221,7 @@
     size = rng.choice([60 * KB, 300 * KB, 2048 * KB, 16 * 1024 * KB])
     server = ServerPlan(size=size, chunked=rng.choice([False, True]), piece=16 * KB)
     connection = Connection(port)
-    with contextlib.suppress(OSError):
+    with contextlib.suppress(*BROKEN_CONNECTION):
         await connection.open(SMALL_RECEIVE_BUFFER_BYTES)
         if rng.choice([True, False, False]):
             await connection.send(RequestPlan("unread", LOOKUP, 3.0, server).head(new_id()))
@@ -235,7 +236,7 @@
 async def _stay(port: int, pieces: list[bytes], stay_s: float, gap_s: float = 0.0) -> None:
     connection = Connection(port)
     end_s = time.monotonic() + stay_s
-    with contextlib.suppress(OSError, TimeoutError):
+    with contextlib.suppress(*BROKEN_CONNECTION, TimeoutError):
         async with asyncio.timeout(stay_s):
             await connection.open()
             for piece in pieces:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -20,6 +20,7 @@
 LONG_CLIENTS = 10
 CROWD_SIZE = 320  # With the other clients no more than a third of 1,024 descriptors.
 LAG_INTERVAL_S = 0.02
+RUN_TIMEOUT_S = 90.0
 MAX_RIG_LAG_S = 0.3  # A run whose rig was later says nothing about times.
 
 
@@ -145,6 +146,7 @@
         self.outcomes: list[Outcome] = []
         self.tree = tree
         self.lag_s = 0.0
+        self.ended = False
         self.ending = False  # from SIGTERM on, long messages are not begun
 
     async def play(self) -> SoakResult:
@@ -159,10 +161,12 @@
         try:
             await platform.start()
             began_s = time.monotonic()
-            await self._play_on(platform)
+            async with asyncio.timeout(RUN_TIMEOUT_S):
+                await self._play_on(platform)
             log = platform.logs()
         finally:
             lag_watch.cancel()
+            self.ended = self.ending = True
             platform.close()
             for server in self.servers:
                 server.close()
@@ -208,7 +212,7 @@
         """Send one short request after another, on an open connection for as long as it stays open."""
         connection: Connection | None = None
         rng = random.Random(self.rng.random())
-        while not stop.is_set():
+        while not stop.is_set() and not self.ended:
             if connection is None:
                 connection = Connection(platform.port)
                 try:
