Memory: the program, connections and requests count, so that crowds fit into the least memory

Cause: the program was counted as 20 MB and takes 27; a connection (6 KB) and a pending request with its connection to a server were not counted at all; and a body in chunks of 16 bytes was held as so many objects. Nothing of the budget was kept for complete requests while bodies did not end.

Change: the memory of the program is measured when it begins to serve; from the rest follow the budget and a limit on client connections. An upload waits in one buffer.

--- a/dykefold/__main__.py
+++ b/dykefold/__main__.py
@@ -161,6 +161,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
+    sidecar.measure_program_memory()
     log.info("sidecar accepts clients: name=%s address=%s:%d", name, *address)
     await sidecar.stopped
     if features is not None:
--- a/dykefold/net/downstream/request_assembler.py
+++ b/dykefold/net/downstream/request_assembler.py
@@ -30,6 +30,7 @@
 
 MAX_HEADERS_BYTES = 32 * 1024
 MAX_MESSAGE_BYTES = 8 * MAX_BUFFERED_BODY_BYTES  # The framing of small chunks is larger than their data.
+LARGE_BODY_BYTES = 8 * 1024
 MAX_WAITING_REQUESTS = 16  # Reading pauses while this many pipelined requests wait.
 READY_TARGET = b"/-/ready"
 # A request that repeats one of these is rejected: an endpoint could use a different value than the sidecar.
@@ -305,7 +306,13 @@
         Returns:
             Whether the bytes are reserved.
         """
-        if not (self._memory.reserve_head(size) if is_head else self._memory.reserve(size)):
+        if is_head:
+            reserve = self._memory.reserve_head
+        elif self._message_reserved_bytes + size > LARGE_BODY_BYTES:
+            reserve = self._memory.reserve_large_body
+        else:
+            reserve = self._memory.reserve
+        if not reserve(size):
             self.reject(503, "too much is held")
             return False
         if not self._clients.reserve_unfinished(self._client, size):
--- a/dykefold/net/sidecar.py
+++ b/dykefold/net/sidecar.py
@@ -210,16 +210,26 @@
         pool: Pool = request.pool
         if not self.clients.open_request(connection.client):
             return 429, _retry_after_header(pool), b"too many open requests from this address\n"
-        if len(pool.pending) >= pool.max_pending or pool.closed or not pool.budget.reserve():
+        if not self._reserve_for_request(pool):
             self.clients.close_request(connection.client, served=False)
             self.clients.rejections.add(RejectionReason.ALL_OPEN_REQUESTS, connection.client.host)
             return 503, _retry_after_header(pool), b"too many open requests\n"
         if not self.request_ids.open(request.x_request_id):
             self.clients.close_request(connection.client, served=False)
             pool.budget.release()
+            self.memory.release_request()
             return DUPLICATE_ID_REJECTION
         return None
 
+    def _reserve_for_request(self, pool: Pool) -> bool:
+        """Reserve memory and a descriptor for one more request; return False if there is no capacity."""
+        if len(pool.pending) >= pool.max_pending or pool.closed or not self.memory.reserve_request():
+            return False
+        if not pool.budget.reserve():
+            self.memory.release_request()
+            return False
+        return True
+
     def accept(self, connection: ClientConnection, request: ParsedRequest) -> None:
         """Accept an admitted request, which gets one final response."""
         request.pool.accept(connection, request)
@@ -227,6 +237,7 @@
     def on_request_end(self, sink: ResponseSink, request: ParsedRequest, served: bool) -> None:
         """Release the capacity that a finished request had reserved."""
         self.clients.close_request(sink.client, served)
+        self.memory.release_request()
         self.request_ids.finish(request.x_request_id)
         if self.draining:
             self.shutdown.stop_if_done()
@@ -249,7 +260,14 @@
     # Limits
 
     def _connection_limits(self) -> ConnectionLimits:
-        return ConnectionLimits(self.budget.clients, self.budget.with_requests)
+        return ConnectionLimits(
+            min(self.budget.clients, self.memory.max_connections), self.budget.with_requests
+        )
+
+    def measure_program_memory(self) -> None:
+        """Measure the memory of the program, which leaves the rest of the limit to messages and clients."""
+        self.memory.set_program_bytes(self.system.resident_bytes())
+        self.clients.resize(self._connection_limits(), self.clients.admission.address_limits)
 
     def listen(self, sock: socket.socket) -> Listener:
         """Start accepting clients' connections on a listening socket."""
--- a/dykefold/net/streaming.py
+++ b/dykefold/net/streaming.py
@@ -55,8 +55,7 @@
         observe: Callback that calls `observe_arrival` with the present counts; None if there is none.
 
     Attributes:
-        buffered: Pieces of the body that wait for the endpoint.
-        waiting_bytes: Number of bytes of the body that wait for the endpoint.
+        buffered: Part of the body that waits for the endpoint.
         started: Whether forwarding to an endpoint has begun, so that the body can't be sent again.
         sent: Whether the last byte has been written to the endpoint's connection.
         forwarded_bytes: Number of bytes of the body that have been written to the endpoint's connection.
@@ -87,7 +86,6 @@
         "started",
         "stop",
         "unfinished_ns",
-        "waiting_bytes",
     )
 
     def __init__(
@@ -99,8 +97,7 @@
         observe: Callable[[], None] | None = None,
     ) -> None:
         self.length = length
-        self.buffered: list[bytes] = [prefix] if prefix else []
-        self.waiting_bytes = len(prefix)
+        self.buffered = bytearray(prefix)  # In one piece: objects of small chunks would take far more memory.
         self.on_drain = on_drain
         self.on_complete: Callable[[], None] | None = None
         self.started = self.sent = False
@@ -117,7 +114,7 @@
     @property
     def full(self) -> bool:
         """Whether reading from the client must pause."""
-        held_bytes = self.waiting_bytes
+        held_bytes = len(self.buffered)
         if self.sink is not None and self.sink.unwritten:
             held_bytes += self.sink.unsent_bytes()
         return held_bytes >= UPLOAD_HIGH_WATER_BYTES
@@ -129,8 +126,7 @@
 
     def feed(self, data: bytes) -> None:
         """Accept the next bytes of the body, and forward as much as the endpoint accepts."""
-        self.buffered.append(data)
-        self.waiting_bytes += len(data)
+        self.buffered += data
         self.flow()
 
     @property
@@ -152,8 +148,7 @@
         if self.length is None:
             unfinished = not unparsed_bytes and not unread_bytes  # The end may be anywhere in these bytes.
         else:
-            received_bytes = self.forwarded_bytes + self.waiting_bytes
-            missing_bytes = self.length - received_bytes - unparsed_bytes - unread_bytes
+            missing_bytes = self.missing_bytes() - unparsed_bytes - unread_bytes
             held_back_bytes = (
                 MAX_CLIENT_SEND_BUFFER_BYTES if unread_bytes >= MIN_FULL_RECEIVE_BUFFER_BYTES else 0
             )
@@ -161,6 +156,10 @@
         if unfinished:
             self.unfinished_ns = now_ns
 
+    def missing_bytes(self) -> int:
+        """Return the number of bytes of a body with a length that are not parsed yet."""
+        return (self.length or 0) - self.forwarded_bytes - len(self.buffered)
+
     def set_paused(self, on: bool, now_ns: int) -> None:
         """Record that reading from the client pauses (`on`) or resumes."""
         self.paused = on
@@ -229,7 +228,7 @@
         self._forward(sink)
         if self.ended and not sink.unwritten and sink.may_send_last_byte():
             self.sent = True
-            last, self.buffered, self.waiting_bytes = b"".join(self.buffered), [], 0
+            last, self.buffered = bytes(self.buffered), bytearray()
             self.forwarded_bytes += len(last)
             sink.write(last if self.length is not None else b"0\r\n\r\n")
         if self._drain_awaited and not self.full:
@@ -238,10 +237,10 @@
 
     def _forward(self, sink: Sink) -> None:
         """Write the waiting bytes, except the last byte of a body whose length is known."""
-        data, last = b"".join(self.buffered), b""
+        data, last = bytes(self.buffered), b""
         if self.length is not None and self.forwarded_bytes + len(data) >= self.length:
             data, last = data[:-1], data[-1:]
-        self.buffered, self.waiting_bytes = [last] if last else [], len(last)
+        self.buffered = bytearray(last)
         if data:
             self.forwarded_bytes += len(data)
             sink.write(data if self.length is not None else b"%x\r\n%s\r\n" % (len(data), data))
--- a/dykefold/system.py
+++ b/dykefold/system.py
@@ -10,6 +10,7 @@
 import errno
 import fcntl
 import os
+import resource
 import select
 import socket
 import sys
@@ -88,6 +89,14 @@
             return 0
         return int.from_bytes(count, sys.byteorder)
 
+    def resident_bytes(self) -> int:
+        """Return the resident memory of this process in bytes (proc(5), statm); 0 if it is unknown."""
+        try:
+            with open("/proc/self/statm", "rb") as file:
+                return int(file.read().split()[1]) * resource.getpagesize()
+        except (OSError, ValueError, IndexError):
+            return 0
+
     def open_reserve(self) -> int:
         """Open a reserve descriptor, to be closed when a descriptor is needed.
 
