Deadlines of large bodies hold while the event loop is late, and bodies are read faster

Callers: 60 bodies of 1.5 MB at once, beside other work, were answered up to 1 s late.

Cause: input was not paused, so the end of a body counted as just arrived, although it had waited in the kernel. And a body was read in slices of 2 KiB, two in each turn of the loop for all connections together.

Change: if no observation of the last 0.25 s shows that the client was still sending, its time counts from the latest that does. Within a body with a length a slice has 16 KiB, which is cheap to parse.

The new test of the end time fails without it.

--- a/dykefold/net/downstream/request_reader.py
+++ b/dykefold/net/downstream/request_reader.py
@@ -11,7 +11,7 @@
 import httptools
 
 from ...admission.client import Client
-from ..read_scheduler import SLICE_BYTES, split_slice
+from ..read_scheduler import BODY_SLICE_BYTES, SLICE_BYTES, split_slice
 from .arrivals import Arrivals
 from .lifecycle import CLOSED, CLOSING_OR_CLOSED, ConnectionLifecycle
 from .protocols import ItemReceiver, ServerContext
@@ -90,7 +90,7 @@
         if self._lifecycle.state in CLOSING_OR_CLOSED:
             self.discard_unparsed()
         if self.unparsed is not None:
-            data, self.unparsed = split_slice(self.unparsed)
+            data, self.unparsed = split_slice(self.unparsed, self._slice_bytes(len(self.unparsed)))
             self._server.memory.release(len(data))
             self._parse(data)
         if self.assembler.discarding_input:
@@ -100,6 +100,13 @@
             self.resume()
         return self.scheduled
 
+    def _slice_bytes(self, size: int) -> int:
+        """Return the size of the next slice of that much input."""
+        upload = self.assembler.upload
+        if upload is not None and upload.length is not None and upload.missing_bytes() >= size:
+            return BODY_SLICE_BYTES
+        return SLICE_BYTES
+
     def discard_unparsed(self) -> None:
         """Discard input that was read and is not parsed yet."""
         if self.unparsed is not None:
--- a/dykefold/net/read_scheduler.py
+++ b/dykefold/net/read_scheduler.py
@@ -17,6 +17,8 @@
 
 # A typical message is shorter than a slice, and a slice full of the shortest requests takes 2 to 3 ms.
 SLICE_BYTES = 2048
+# Slice of a body with a length, which is cheap to parse.
+BODY_SLICE_BYTES = 16 * 1024
 # Limit for all connections together.
 MAX_SLICES_PER_ITERATION = 2
 
@@ -73,7 +75,7 @@
             self.lag_monitor.record_duration(began_s, "slices of long input")
 
 
-def split_slice(data: memoryview) -> tuple[bytes, memoryview | None]:
+def split_slice(data: memoryview, size: int = SLICE_BYTES) -> tuple[bytes, memoryview | None]:
     """Split input into its next slice and the rest, which is None if nothing is left."""
-    rest = data[SLICE_BYTES:]
-    return bytes(data[:SLICE_BYTES]), rest if len(rest) else None
+    rest = data[size:]
+    return bytes(data[:size]), rest if len(rest) else None
--- a/dykefold/net/streaming.py
+++ b/dykefold/net/streaming.py
@@ -14,6 +14,8 @@
 UPLOAD_HIGH_WATER_BYTES = 64 * 1024
 # The bytes that the kernel buffered during a pause are read within this time after reading resumes.
 SOCKET_READ_NS = 50_000_000
+# While the body is read as it arrives, an observation shows within this time that the client is sending.
+MAX_OBSERVATION_AGE_NS = 250_000_000
 # With fewer unread bytes the receive buffer has room, and nothing waits in the kernel of the client.
 MIN_FULL_RECEIVE_BUFFER_BYTES = 16 * 1024
 # Maximum bytes that a client may have written and that wait in its kernel (tcp(7), tcp_wmem).
@@ -175,7 +177,11 @@
         Args:
             now_ns: Current time, nanoseconds of `Clock`.
         """
-        read_late = self.paused or now_ns - self.resumed_ns < SOCKET_READ_NS
+        read_late = (
+            self.paused
+            or now_ns - self.resumed_ns < SOCKET_READ_NS
+            or now_ns - self.unfinished_ns > MAX_OBSERVATION_AGE_NS
+        )
         self.completed_ns = min(self.unfinished_ns, now_ns) if read_late and self.unfinished_ns else now_ns
         if self.on_complete is not None:  # sets the deadline, checked before the last byte is written
             self.on_complete()
--- a/tests/net/test_upload_arrival.py
+++ b/tests/net/test_upload_arrival.py
@@ -4,6 +4,7 @@
 
 from dykefold.net.streaming import (
     MAX_CLIENT_SEND_BUFFER_BYTES,
+    MAX_OBSERVATION_AGE_NS,
     MIN_FULL_RECEIVE_BUFFER_BYTES,
     SOCKET_READ_NS,
     Upload,
@@ -28,9 +29,17 @@
 
 def test_body_that_is_read_as_it_comes_completes_when_it_is_read():
     upload = Upload(LENGTH, b"", lambda: None, 10)
+    upload.observe_arrival(10 + 8 * SOCKET_READ_NS, 0, 0)
     assert completed_ns(upload, 10 + 10 * SOCKET_READ_NS) == 10 + 10 * SOCKET_READ_NS
 
 
+def test_body_that_waits_for_a_late_event_loop_completes_when_it_was_last_seen_unfinished():
+    """Guards against a deadline that starts when a busy sidecar, not the client, is done with the body."""
+    upload = Upload(LENGTH, b"", lambda: None, 10)
+    upload.observe_arrival(100, 0, FULL)
+    assert completed_ns(upload, 10 + MAX_OBSERVATION_AGE_NS + 1) == 10
+
+
 @pytest.mark.parametrize("length", [LENGTH, None])
 def test_body_buffered_while_reading_was_paused_completes_at_pause_time(length):
     """Guards against a late end time: the rest of a body is in the socket buffer while reading is paused."""
@@ -42,6 +51,7 @@
     assert completed_ns(resumed, 800 + SOCKET_READ_NS - 1) == 100
     later = upload_paused_at(100, length=length)
     later.set_paused(False, 800)
+    later.observe_arrival(800, 0, 0)
     assert completed_ns(later, 800 + SOCKET_READ_NS) == 800 + SOCKET_READ_NS  # The client sent more later.
 
 
