--- a/dykefold/control/request_id_log.py
+++ b/dykefold/control/request_id_log.py
@@ -9,19 +9,12 @@
 from __future__ import annotations
 
 import struct
-from hashlib import blake2b
 
 from .append_log import LogReader, Logs
 
 RECORD = struct.Struct("<QQ")
 OPEN = 0
 REPLACED = bytes(RECORD.size)
-DIGEST_BYTES = 8
-
-
-def id_digest(request_id: bytes) -> int:
-    """Return the digest of an id, which is never 0."""
-    return int.from_bytes(blake2b(request_id, digest_size=DIGEST_BYTES).digest(), "little") or 1
 
 
 def id_record(digest: int, until_ns: int) -> bytes:
--- a/dykefold/control/request_id_sharing.py
+++ b/dykefold/control/request_id_sharing.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Callable, Collection
 
-from ..net.request_ids import RECENT_ID_S, RequestIds
+from ..net.request_ids import RECENT_ID_S, RequestIds, id_digest
 from .append_log import Logs, LogWriter
-from .request_id_log import OPEN, REPLACED, RequestIdFollower, id_digest, id_record
+from .request_id_log import OPEN, REPLACED, RequestIdFollower, id_record
 
 RECENT_ID_NS = int(RECENT_ID_S * 1e9)
 MAX_LOG_BYTES = 1024 * 1024  # A longer log is replaced by one with the ids that are still of use.
--- a/tests/control/test_request_id_sharing.py
+++ b/tests/control/test_request_id_sharing.py
@@ -10,8 +10,9 @@
 from dykefold.control import request_id_sharing
 from dykefold.control.append_log import FileLogs
 from dykefold.control.file_system import FileSystem
-from dykefold.control.request_id_log import RequestIdFollower, id_digest, id_record
+from dykefold.control.request_id_log import RequestIdFollower, id_record
 from dykefold.control.request_id_sharing import RECENT_ID_NS, log_name
+from dykefold.net.request_ids import id_digest
 
 FIRST, SECOND, THIRD = b"first", b"second", b"third"
 
