Deadlines of large bodies: an empty receive buffer just after a read proves nothing

Cause: an observation right after a read found the kernel's buffer empty and took the client for one that was still sending. What its kernel holds back arrives a moment later.

The new test states it for both framings.

--- a/dykefold/net/downstream/request_reader.py
+++ b/dykefold/net/downstream/request_reader.py
@@ -17,6 +17,9 @@
 from .protocols import ItemReceiver, ServerContext
 from .request_assembler import MAX_WAITING_REQUESTS, RequestAssembler
 
+# What the client's kernel holds back arrives within this time after a read.
+REFILL_NS = 10_000_000
+
 
 class RequestReader:
     """Reads the input of one connection.
@@ -40,6 +43,8 @@
         "_client",
         "_dispatch",
         "_lifecycle",
+        "_read_bytes",
+        "_read_ns",
         "_server",
         "assembler",
         "paused",
@@ -56,6 +61,7 @@
         self._lifecycle = lifecycle
         self._dispatch = receiver.dispatch
         self._arrivals = Arrivals()
+        self._read_ns = self._read_bytes = 0  # the latest read of a body that is streamed
         self.assembler = RequestAssembler(server, client, receiver, self)
         self.transport: asyncio.Transport | None = None
         self.paused = False
@@ -66,6 +72,8 @@
         """Parse the first slice immediately; the rest of longer input waits for the read scheduler."""
         if self.assembler.discarding_input or self._lifecycle.state is CLOSED:
             return
+        if self.assembler.upload is not None:
+            self._read_ns, self._read_bytes = self._server.now(), len(data)
         if len(data) <= SLICE_BYTES:
             began_s = self._server.monotonic()
             self._parse(data)
@@ -177,7 +185,8 @@
         if self.paused:
             self._arrivals.record_count(now_ns, unparsed_bytes + unread_bytes)
         if self.assembler.upload is not None:
-            self.assembler.upload.observe_arrival(now_ns, unparsed_bytes, unread_bytes)
+            just_read_bytes = self._read_bytes if now_ns - self._read_ns < REFILL_NS else 0
+            self.assembler.upload.observe_arrival(now_ns, unparsed_bytes, unread_bytes, just_read_bytes)
 
     def _is_full(self) -> bool:
         """Return whether so much is queued that reading must pause."""
--- a/dykefold/net/streaming.py
+++ b/dykefold/net/streaming.py
@@ -136,7 +136,9 @@
         """Whether the last byte has been read from the client."""
         return self.completed_ns > 0
 
-    def observe_arrival(self, now_ns: int, unparsed_bytes: int, unread_bytes: int) -> None:
+    def observe_arrival(
+        self, now_ns: int, unparsed_bytes: int, unread_bytes: int, just_read_bytes: int = 0
+    ) -> None:
         """Record how much of the body has arrived; called from time to time while it arrives.
 
         The client's deadline counts from the moment at which its kernel accepted the last byte, which can't
@@ -146,15 +148,15 @@
             now_ns: Current time, nanoseconds of `Clock`.
             unparsed_bytes: Number of bytes that were read and not parsed yet.
             unread_bytes: Number of bytes that wait in the kernel's receive buffer.
+            just_read_bytes: Size of a read that took place just now, after which the buffer may not be filled
+                again yet.
         """
-        if self.length is None:
-            unfinished = not unparsed_bytes and not unread_bytes  # The end may be anywhere in these bytes.
+        may_be_full = max(unread_bytes, just_read_bytes) >= MIN_FULL_RECEIVE_BUFFER_BYTES
+        if self.length is None:  # The end may be anywhere in the bytes that are not parsed.
+            unfinished = not unparsed_bytes and not unread_bytes and not may_be_full
         else:
             missing_bytes = self.missing_bytes() - unparsed_bytes - unread_bytes
-            held_back_bytes = (
-                MAX_CLIENT_SEND_BUFFER_BYTES if unread_bytes >= MIN_FULL_RECEIVE_BUFFER_BYTES else 0
-            )
-            unfinished = missing_bytes > held_back_bytes
+            unfinished = missing_bytes > (MAX_CLIENT_SEND_BUFFER_BYTES if may_be_full else 0)
         if unfinished:
             self.unfinished_ns = now_ns
 
--- a/tests/net/test_upload_arrival.py
+++ b/tests/net/test_upload_arrival.py
@@ -64,6 +64,16 @@
     assert upload.unfinished_ns == 300
 
 
+@pytest.mark.parametrize("length", [LENGTH, None])
+def test_receive_buffer_that_was_just_read_may_be_filled_again_at_once(length):
+    """Guards against a deadline that starts anew with each read of a body which was sent long ago."""
+    upload = upload_paused_at(100, length=length)
+    upload.observe_arrival(200, 0, 0, FULL)
+    assert upload.unfinished_ns == 100
+    upload.observe_arrival(300, 0, 0, FULL - 1)
+    assert upload.unfinished_ns == 300
+
+
 def test_body_that_has_arrived_is_not_unfinished():
     upload = upload_paused_at(100)
     upload.observe_arrival(200, LENGTH - 5, 5)
