--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -26,13 +26,14 @@
     Attributes:
         request_id: Its id.
         plan: Its plan.
-        sent_s: Time of its last byte.
+        sent_s: Time of its last byte; of the end if that was never written.
         first_byte_s: Time of the first byte of the final answer.
         ended_s: Time of the answer's last byte, or of the end of the connection.
         status: Status of the final answer; 0 without one.
         body: Bytes of the answer's body that were received.
         whole: Whether the answer is whole.
         reused: Whether the connection had carried a request before.
+        written: Whether the last byte was written.
         problem: Why there is no whole answer.
     """
 
@@ -45,6 +46,7 @@
     body: int = 0
     whole: bool = False
     reused: bool = False
+    written: bool = False
     problem: str = ""
 
     @property
@@ -98,6 +100,7 @@
             for task in (reading, writing):
                 task.cancel()
             await asyncio.gather(reading, writing, return_exceptions=True)
+        outcome.written = outcome.sent_s > 0
         outcome.sent_s = outcome.sent_s or time.monotonic()
         outcome.ended_s = time.monotonic()
         self.keep = self.keep and outcome.whole
