Logs: refusals for lack of memory, and streamed answers that end early

The logs of the incident showed neither: a process that was killed for its memory had refused and logged nothing, and a long answer that was cut off left no line.

--- a/dykefold/admission/decision.py
+++ b/dykefold/admission/decision.py
@@ -17,6 +17,7 @@
     OPEN_REQUESTS_OF_ADDRESS = "open_requests_per_address"
     UNFINISHED_BYTES_OF_ADDRESS = "unfinished_bytes_per_address"
     ALL_OPEN_REQUESTS = "all_open_requests"
+    MEMORY = "memory"
 
 
 class AdmissionDecision(NamedTuple):
--- a/dykefold/net/downstream/request_assembler.py
+++ b/dykefold/net/downstream/request_assembler.py
@@ -16,6 +16,7 @@
 import httptools
 
 from ...admission.client import Client
+from ...admission.decision import RejectionReason
 from ..head_memory import (
     MAX_HEADER_LINES,
     SMALL_HEAD_BYTES,
@@ -313,7 +314,7 @@
         else:
             reserve = self._memory.reserve
         if not reserve(size):
-            self.reject(503, "too much is held")
+            self.reject_for_memory()
             return False
         if not self._clients.reserve_unfinished(self._client, size):
             self._memory.release(size)
@@ -323,6 +324,11 @@
         self._message_reserved_bytes += size
         return True
 
+    def reject_for_memory(self) -> None:
+        """Reject the message, since the memory budget has no capacity for it."""
+        self._clients.rejections.add(RejectionReason.MEMORY, self._client.host)
+        self.reject(503, "too much is held")
+
     def reject(self, code: int, text: str, is_head: bool = False) -> None:
         """Queue an error as the last response and discard input: the start of the next message is unknown."""
         if self.upload is not None and not self.discarding_input:
--- a/dykefold/net/downstream/request_reader.py
+++ b/dykefold/net/downstream/request_reader.py
@@ -85,7 +85,7 @@
             return
         rest = memoryview(data)[SLICE_BYTES:]
         if not self._server.memory.reserve(len(rest)):
-            self.assembler.reject(503, "too much is held")
+            self.assembler.reject_for_memory()
             self._dispatch()
             return
         self.unparsed = rest
--- a/dykefold/net/service/pending_requests.py
+++ b/dykefold/net/service/pending_requests.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
 from ...balancer.actions import Fail, Reject
@@ -20,6 +21,8 @@
 from .pending_request import PendingRequest
 from .protocols import DescriptorReservations, PoolHost, RequestHost, ResponseSink
 
+log = logging.getLogger("dykefold")
+
 # A request that still has no final answer gets one this long before its deadline.
 FALLBACK_MARGIN_NS = 8 * NS_PER_MS
 # Interval between observations of a body that is arriving.
@@ -187,6 +190,9 @@
         upload = request.parsed.upload
         if request.streaming_answer:
             complete = status is Status.OK
+            if not complete:
+                request_id = request.parsed.x_request_id.decode("latin-1")
+                log.warning("streamed answer ended early: request_id=%s status=%s", request_id, status.name)
             self._remove_pending(request, served=complete)
             request.sink.end_response(request.parsed, complete)
         elif upload is not None and upload.rejection is not None:
