Shutdown: answers that are being streamed end by themselves while the platform leaves time

Cause: all pending requests got their final answer at that moment, also those whose answer was being streamed; such a request can only be broken off.

Change: a streamed answer goes on. While there is one, the process ends 0.05 s before the kill.

--- a/dykefold/net/service/pending_requests.py
+++ b/dykefold/net/service/pending_requests.py
@@ -157,9 +157,10 @@
             self.post(ClientDisconnected(request.id))
 
     def answer_all(self) -> None:
-        """Give each pending request its final answer immediately."""
+        """Give each pending request its final answer immediately; an answer that is streamed goes on."""
         for request in list(self.by_id.values()):
-            self.answer_now(request)
+            if not request.streaming_answer:
+                self.answer_now(request)
 
     def reject(self, action: Reject) -> None:
         """Answer a request that the balancer refuses: the request has had no effect."""
--- a/dykefold/net/shutdown.py
+++ b/dykefold/net/shutdown.py
@@ -33,6 +33,8 @@
 MIN_LISTENER_CLOSE_S = 0.1
 # Clients have this time to read the last responses. The remaining time until the kill allows for a late loop.
 FLUSH_S = 0.2
+# Answers that are being streamed at the end have this time more.
+LAST_STREAMS_S = 0.15
 # Interval between checks for clients with an incomplete message, once every request is answered.
 REJECT_INTERVAL_S = 0.05
 
@@ -125,7 +127,7 @@
         self.answer_at_s = server.monotonic() + times.answer_s
         self.loop.call_later(times.stop_requests_s, self.stop_requests)
         self.loop.call_later(times.answer_s, self.answer_all)
-        self.loop.call_later(times.stop_s, self._stop)
+        self.loop.call_later(times.stop_s, self._stop_unless_streaming)
 
     def _longest_deadline_ns(self) -> int:
         """Return the longest deadline in the configuration, by which the platform times the kill.
@@ -203,6 +205,13 @@
         if self.server.listener is None and not self.server.clients.open_connections:
             self._stop()
 
+    def _stop_unless_streaming(self) -> None:
+        """Stop, or a moment before the platform may kill the process while answers are being streamed."""
+        if any(request.streaming_answer for pool in self.server.pools for request in pool.pending.values()):
+            self.loop.call_later(LAST_STREAMS_S, self._stop)
+        else:
+            self._stop()
+
     def _stop(self) -> None:
         if not self.server.stopped.done():
             self.server.stopped.set_result(None)
--- a/tests/soak/test_fault_soak.py
+++ b/tests/soak/test_fault_soak.py
@@ -76,6 +76,29 @@
     assert not violations
 
 
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+def test_shutdown_does_not_cut_off_answers_that_end_before_the_kill(chunked):
+    """Guards against long answers that a graceful shutdown ends while the platform leaves them time."""
+    answer = ServerPlan(size=256 * KB, chunked=chunked, rate=256 * KB * 10 // 34)  # Takes 3.4 s.
+
+    async def play():
+        servers = [ScriptedServer("s0", [])]
+        await servers[0].start()
+        platform = SidecarPlatform(servers, memory_mb=96, descriptors=1024)
+        try:
+            process = await platform.start()
+            plan = RequestPlan("long", ORDER, 2.0, answer)
+            asked = [asyncio.ensure_future(ask_once(platform.port, plan)) for _ in range(10)]
+            await asyncio.sleep(0.05)
+            await platform.end(process)
+            return await asyncio.gather(*asked)
+        finally:
+            platform.close()
+            servers[0].close()
+
+    assert all(outcome.whole and outcome.status == 200 for outcome in uvloop.run(play()))
+
+
 def test_many_bodies_at_once_that_no_server_reads_are_answered_in_time():
     """Guards against a deadline that starts when the sidecar, not the client, is done with the body."""
     plan = RequestPlan("stuck", ORDER, 1.0, ServerPlan(stop_at=17 * KB), body=1500 * KB)
