Tests: the share of large bodies and unparsed input turn red when they are broken

Eight mutations by hand: with the share of large bodies at 1, and with unparsed input not charged, no test failed. Both tests fail with these mutations now and pass without.

--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -1,9 +1,12 @@
 """The memory budget: what connections and requests take of a process's limit."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from dykefold.net.memory_budget import CONNECTION_BYTES, MB, REQUEST_BYTES, MemoryBudget
 from dykefold.net.streaming import Upload
+from dykefold.net.upstream.connection import UpstreamConnection
 
 
 @pytest.mark.parametrize("limit_mb", [32, 48, 96, 192])
@@ -37,10 +40,10 @@
 def test_large_bodies_leave_memory_to_other_requests():
     """Guards against clients that stop within large bodies and have everybody else refused."""
     budget = MemoryBudget(32 * MB)
-    while budget.reserve_large_body(64 * 1024):
+    while budget.reserve_large_body(1024):
         pass
-    assert budget.reserve_request()
     assert budget.reserve(8 * 1024)
+    assert budget.reserve_request()
 
 
 def test_upload_of_small_chunks_is_held_in_one_piece():
@@ -49,3 +52,16 @@
     for _ in range(1000):
         upload.feed(b"0123456789abcdef")
     assert upload.buffered == b"0123456789abcdef" * 1000
+
+
+def test_input_of_an_endpoint_that_is_read_and_not_parsed_is_charged():
+    """Guards against answers whose unparsed bytes nobody has paid for."""
+    budget = MemoryBudget(32 * MB)
+    connection = UpstreamConnection.__new__(UpstreamConnection)
+    connection.resources, connection.unparsed = SimpleNamespace(memory=budget), None
+    connection._set_unparsed(memoryview(b"x" * 100))
+    assert budget.reserved_bytes == 100
+    connection._set_unparsed(connection.unparsed[60:])
+    assert budget.reserved_bytes == 40
+    connection._set_unparsed(None)
+    assert budget.reserved_bytes == 0
